--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
@@ -0,0 +1,62 @@
+package org.chivecourse.command;
+
+import java.util.concurrent.Callable;
+import org.chivecourse.gateway.log.JsonLogs;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** The entry of the command line. */
+@Command(
+        name = "chivecourse",
+        description = "A load balancer for servers whose load changes within milliseconds.",
+        mixinStandardHelpOptions = true,
+        version = "chivecourse 0.1.0",
+        subcommands = {
+            GatewayCommand.class,
+            ConfigurationCommand.class,
+            StatusCommand.class,
+            StandInCommand.class,
+            LoadCommand.class
+        })
+public final class ChivecourseCommand implements Callable<Integer> {
+
+    /** The specification of the command. */
+    @Spec
+    private CommandSpec specification;
+
+    /** Creates the command. */
+    public ChivecourseCommand() {}
+
+    /**
+     * Runs the command line and exits with its exit code.
+     *
+     * @param arguments the words of the command line
+     */
+    public static void main(String... arguments) {
+        JsonLogs.install();
+        System.exit(execute(arguments));
+    }
+
+    /**
+     * Runs the command line.
+     *
+     * @param arguments the words of the command line
+     * @return the exit code
+     */
+    public static int execute(String... arguments) {
+        return new CommandLine(new ChivecourseCommand())
+                .setExecutionExceptionHandler((exception, line, parsed) -> {
+                    line.getErr().println("chivecourse: " + exception.getMessage());
+                    return ExitCode.BAD_INPUT;
+                })
+                .execute(arguments);
+    }
+
+    @Override
+    public Integer call() {
+        specification.commandLine().usage(specification.commandLine().getErr());
+        return ExitCode.BAD_INPUT;
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ConfigurationCommand.java
@@ -0,0 +1,165 @@
+package org.chivecourse.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.configuration.format.ConfigurationReader;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.format.PrintedConfiguration;
+import org.chivecourse.configuration.format.ReadConfiguration;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.rule.ConfigurationException;
+import org.chivecourse.configuration.rule.Finding;
+import org.chivecourse.standin.deployment.ServiceShape;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Checks, prints and compares configurations. */
+@Command(
+        name = "configuration",
+        description = "Checks, prints and compares configurations.",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            ConfigurationCommand.Check.class,
+            ConfigurationCommand.Print.class,
+            ConfigurationCommand.Compare.class,
+            ConfigurationCommand.Again.class
+        })
+final class ConfigurationCommand implements Callable<Integer> {
+
+    @Override
+    public Integer call() {
+        System.err.println("chivecourse configuration: name one of check, print, compare, again");
+        return ExitCode.BAD_INPUT;
+    }
+
+    /**
+     * Reads a configuration from a file.
+     *
+     * @param path the file
+     * @return the configuration
+     * @throws IOException if the file cannot be read
+     * @throws DocumentException if the text does not have the shape of a configuration
+     * @throws ConfigurationException if a rule is broken
+     */
+    static ReadConfiguration read(Path path) throws IOException, DocumentException, ConfigurationException {
+        if (!Files.isReadable(path)) {
+            throw new DocumentException(path.toString(), "file does not exist or cannot be read");
+        }
+        return new ConfigurationReader().read(path.toString(), Files.readString(path));
+    }
+
+    /** Checks a configuration. */
+    @Command(name = "check", description = "Checks a configuration.", mixinStandardHelpOptions = true)
+    static final class Check implements Callable<Integer> {
+
+        /** The file. */
+        @Parameters(index = "0", paramLabel = "FILE", description = "The printed configuration.")
+        private Path file;
+
+        @Override
+        public Integer call() throws Exception {
+            ReadConfiguration configuration = read(file);
+            for (Finding danger : configuration.dangers()) {
+                System.out.println("DANGER: " + danger.problem());
+            }
+            Configuration content = configuration.printed().configuration();
+            System.out.println(file + ": revision " + content.revision() + " with "
+                    + content.services().size() + " services is valid, digest "
+                    + configuration.printed().digest());
+            return configuration.dangers().isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
+        }
+    }
+
+    /** Prints the example. */
+    @Command(name = "print", description = "Prints the example configuration.", mixinStandardHelpOptions = true)
+    static final class Print implements Callable<Integer> {
+
+        /** The revision. */
+        @Option(names = "--revision", defaultValue = "1", description = "The revision, ${DEFAULT-VALUE} if not given.")
+        private long revision;
+
+        /** The first port. */
+        @Option(
+                names = "--first-port",
+                defaultValue = "9000",
+                description = "The port of the first backend server, ${DEFAULT-VALUE} if not given.")
+        private int firstPort;
+
+        @Override
+        public Integer call() throws Exception {
+            Configuration configuration = Configuration.revision(revision);
+            int port = firstPort;
+            for (ServiceShape shape : ServiceShape.values()) {
+                List<String> addresses = new ArrayList<>();
+                for (int index = 0; index < shape.servers(); index++) {
+                    addresses.add("127.0.0.1:" + port++);
+                }
+                configuration = configuration.service(shape.service(addresses));
+            }
+            System.out.print(new ConfigurationWriter().print(configuration).text());
+            return ExitCode.DONE;
+        }
+    }
+
+    /** Compares two configurations. */
+    @Command(
+            name = "compare",
+            description = "Prints what a new configuration changes.",
+            mixinStandardHelpOptions = true)
+    static final class Compare implements Callable<Integer> {
+
+        /** The old file. */
+        @Parameters(index = "0", paramLabel = "OLD", description = "The configuration in force.")
+        private Path old;
+
+        /** The new file. */
+        @Parameters(index = "1", paramLabel = "NEW", description = "The configuration to come.")
+        private Path next;
+
+        @Override
+        public Integer call() throws Exception {
+            ReadConfiguration before = read(old);
+            ReadConfiguration after = read(next);
+            List<String> problems = new ArrayList<>();
+            after.dangers().forEach(danger -> problems.add(danger.problem()));
+            problems.addAll(ConfigurationComparison.order(before.printed(), after.printed()));
+            ConfigurationComparison.changes(
+                            before.printed().configuration(), after.printed().configuration())
+                    .forEach(System.out::println);
+            problems.forEach(problem -> System.out.println("DANGER: " + problem));
+            return problems.isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
+        }
+    }
+
+    /** Prints old content under a new revision. */
+    @Command(
+            name = "again",
+            description = "Prints the content of an old configuration as the revision after the one in force.",
+            mixinStandardHelpOptions = true)
+    static final class Again implements Callable<Integer> {
+
+        /** The old file. */
+        @Parameters(index = "0", paramLabel = "OLD", description = "The configuration whose content is wanted again.")
+        private Path old;
+
+        /** The file in force. */
+        @Parameters(index = "1", paramLabel = "CURRENT", description = "The configuration in force.")
+        private Path current;
+
+        @Override
+        public Integer call() throws Exception {
+            PrintedConfiguration inForce = read(current).printed();
+            Configuration content = read(old).printed().configuration();
+            long revision = inForce.configuration().revision() + 1;
+            Configuration next = content.following(revision, inForce.digest());
+            System.out.print(new ConfigurationWriter().print(next, inForce).text());
+            return ExitCode.DONE;
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ConfigurationComparison.java
@@ -0,0 +1,107 @@
+package org.chivecourse.command;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.chivecourse.configuration.format.PrintedConfiguration;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Service;
+
+/** Finds what a configuration changes of another one. */
+final class ConfigurationComparison {
+
+    /** Not to be constructed. */
+    private ConfigurationComparison() {}
+
+    /**
+     * Returns why gateways would not put a configuration in force after another one.
+     *
+     * @param before the configuration in force
+     * @param after the configuration to come
+     * @return the problems
+     */
+    static List<String> order(PrintedConfiguration before, PrintedConfiguration after) {
+        List<String> problems = new ArrayList<>();
+        long old = before.configuration().revision();
+        long next = after.configuration().revision();
+        if (next <= old) {
+            problems.add("revision " + next + " is not higher than " + old + ", gateways would keep " + old);
+        }
+        if (!after.configuration().parentDigest().equals(before.digest())) {
+            problems.add("parent \"" + after.configuration().parentDigest() + "\" is not the digest \""
+                    + before.digest() + "\" of the configuration in force; another operator may have changed it");
+        }
+        return problems;
+    }
+
+    /**
+     * Returns the changes of content.
+     *
+     * @param before the configuration in force
+     * @param after the configuration to come
+     * @return the changes, one a line
+     */
+    static List<String> changes(Configuration before, Configuration after) {
+        List<String> lines = new ArrayList<>();
+        for (Service old : before.services()) {
+            if (after.service(old.name()).isEmpty()) {
+                lines.add("service " + old.name() + ": removed");
+            }
+        }
+        for (Service next : after.services()) {
+            Optional<Service> old = before.service(next.name());
+            if (old.isEmpty()) {
+                lines.add("service " + next.name() + ": added with "
+                        + next.backendServers().size() + " backend servers");
+                continue;
+            }
+            addChanges(lines, old.get(), next);
+        }
+        if (lines.isEmpty()) {
+            lines.add("no service changes");
+        }
+        return lines;
+    }
+
+    /**
+     * Adds the changes of a service.
+     *
+     * @param lines receives the changes
+     * @param old the service before
+     * @param next the service after
+     */
+    private static void addChanges(List<String> lines, Service old, Service next) {
+        String start = "service " + next.name() + ": ";
+        addChange(lines, start + "path-prefix", old.pathPrefix(), next.pathPrefix());
+        addChange(lines, start + "priority", old.priority(), next.priority());
+        addChange(lines, start + "limits", old.limits(), next.limits());
+        addChange(lines, start + "refusal", old.refusal(), next.refusal());
+        addChange(lines, start + "measuring", old.measuring(), next.measuring());
+        addChange(lines, start + "routes", old.routes(), next.routes());
+        Map<String, BackendServer> servers = new LinkedHashMap<>();
+        old.backendServers().forEach(server -> servers.put(server.address(), server));
+        for (BackendServer server : next.backendServers()) {
+            BackendServer was = servers.remove(server.address());
+            addChange(lines, start + "backend server " + server.address(), was, server);
+        }
+        servers.keySet().forEach(address -> lines.add(start + "backend server " + address + ": removed"));
+    }
+
+    /**
+     * Adds a change if there is one.
+     *
+     * @param lines receives the change
+     * @param subject what changes
+     * @param old the value before, {@code null} for none
+     * @param next the value after
+     */
+    private static void addChange(List<String> lines, String subject, Object old, Object next) {
+        if (!Objects.equals(old, next)) {
+            lines.add(subject + ": " + (old == null ? "added" : old + " -> " + next));
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/LoadCommand.java
@@ -0,0 +1,134 @@
+package org.chivecourse.command;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import org.HdrHistogram.AbstractHistogram;
+import org.chivecourse.standin.backend.BackendServerStandIn;
+import org.chivecourse.standin.load.LoadGenerator;
+import org.chivecourse.standin.load.LoadPlan;
+import org.chivecourse.standin.load.LoadReportOfRun;
+import org.chivecourse.standin.load.Result;
+import org.chivecourse.transport.http.BackendConnections;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import reactor.netty.http.client.HttpClient;
+
+/** Generates load and checks every answer. */
+@Command(
+        name = "load",
+        description = "Generates load at a planned rate and checks every answer; exits with 1 if a promise broke.",
+        mixinStandardHelpOptions = true)
+final class LoadCommand implements Callable<Integer> {
+
+    /** The time for the records of runs to be read. */
+    private static final Duration RECORDS_TIMEOUT = Duration.ofSeconds(10);
+
+    /** The targets. */
+    @Option(names = "--target", required = true, split = ",", description = "The addresses of gateways.")
+    private List<String> targets;
+
+    /** The readiness endpoints. */
+    @Option(
+            names = "--ready",
+            split = ",",
+            defaultValue = "",
+            description = "The operators' addresses of the gateways in the same order, to send only to ready ones.")
+    private List<String> ready;
+
+    /** The backend servers. */
+    @Option(
+            names = "--backend-server",
+            split = ",",
+            defaultValue = "",
+            description = "The addresses of stand-ins of backend servers, whose records of runs are checked.")
+    private List<String> servers;
+
+    /** The paths. */
+    @Option(names = "--path", split = ",", defaultValue = "/jobs", description = "The paths of services.")
+    private List<String> paths;
+
+    /** The rate. */
+    @Option(names = "--rate", defaultValue = "100", description = "Requests a second, ${DEFAULT-VALUE} if not given.")
+    private double rate;
+
+    /** The time. */
+    @Option(names = "--seconds", defaultValue = "5", description = "The time, ${DEFAULT-VALUE} if not given.")
+    private int seconds;
+
+    /** The share of non-idempotent requests. */
+    @Option(names = "--write-percent", defaultValue = "20", description = "The share of non-idempotent requests.")
+    private int writePercent;
+
+    /** The seed. */
+    @Option(names = "--seed", defaultValue = "1", description = "The seed of arrivals.")
+    private long seed;
+
+    @Override
+    public Integer call() {
+        LoadPlan plan = new LoadPlan(
+                targets,
+                withoutEmpty(ready),
+                paths,
+                rate,
+                Duration.ofSeconds(seconds),
+                writePercent,
+                Duration.ofSeconds(20),
+                seed,
+                "load" + seed);
+        LoadReportOfRun report = new LoadGenerator(plan).run();
+        for (Map.Entry<Result, Integer> count : report.counts().entrySet()) {
+            System.out.println(count.getKey() + " " + count.getValue());
+        }
+        AbstractHistogram times = report.times();
+        System.out.printf(
+                "p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms%n",
+                times.getValueAtPercentile(50) / 1000.0,
+                times.getValueAtPercentile(99) / 1000.0,
+                times.getValueAtPercentile(99.9) / 1000.0);
+        if (withoutEmpty(servers).isEmpty()) {
+            return ExitCode.DONE;
+        }
+        Map<String, Integer> runs = runs();
+        Set<String> broken = report.broken(request -> runs.getOrDefault(request, 0));
+        System.out.println("broken promises " + broken.size());
+        broken.stream().limit(20).forEach(System.out::println);
+        return broken.isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
+    }
+
+    /**
+     * Reads how often each request ran from all backend servers.
+     *
+     * @return the number of runs by request
+     */
+    private Map<String, Integer> runs() {
+        Map<String, Integer> runs = new HashMap<>();
+        for (String server : withoutEmpty(servers)) {
+            String text = HttpClient.create()
+                    .remoteAddress(() -> BackendConnections.address(server))
+                    .get()
+                    .uri(BackendServerStandIn.RUNS_PATH)
+                    .responseSingle((response, body) -> body.asString())
+                    .defaultIfEmpty("")
+                    .block(RECORDS_TIMEOUT);
+            text.lines().forEach(line -> {
+                int space = line.lastIndexOf(' ');
+                runs.merge(line.substring(0, space), Integer.parseInt(line.substring(space + 1)), Integer::sum);
+            });
+        }
+        return runs;
+    }
+
+    /**
+     * Returns a list without the empty item that stands for an absent option.
+     *
+     * @param list the list
+     * @return the list without empty items
+     */
+    private static List<String> withoutEmpty(List<String> list) {
+        return list.stream().filter(item -> !item.isEmpty()).toList();
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/StatusTable.java
@@ -0,0 +1,94 @@
+package org.chivecourse.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** Prints a gateway's status as a table. */
+final class StatusTable {
+
+    /** The mapper that reads JSON. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Not to be constructed. */
+    private StatusTable() {}
+
+    /**
+     * Prints a status.
+     *
+     * @param json the status as JSON
+     * @return the table
+     * @throws JsonProcessingException if the text is not JSON
+     */
+    static String print(String json) throws JsonProcessingException {
+        JsonNode root = MAPPER.readTree(json);
+        StringBuilder text = new StringBuilder();
+        JsonNode configuration = root.path("configuration");
+        text.append(String.format(
+                "host %s: %s, revision %d, open calls %d%n",
+                root.path("host").asText(),
+                root.path("state").asText(),
+                configuration.path("revision").asLong(),
+                root.path("open-calls").asInt()));
+        warn(text, "CONFLICT", configuration.path("conflict").asText());
+        warn(text, "LAST REJECTED", configuration.path("last-rejection").asText());
+        configuration.path("dangers").forEach(danger -> warn(text, "DANGER", danger.asText()));
+        root.path("platform")
+                .properties()
+                .forEach(replica -> text.append(String.format(
+                        "  platform %s: last reached %s%s%n",
+                        replica.getKey(),
+                        replica.getValue().path("last-reached").asText(),
+                        failure(replica.getValue().path("failure").asText()))));
+        root.path("services").forEach(service -> addService(text, service));
+        return text.toString();
+    }
+
+    /**
+     * Adds a service.
+     *
+     * @param text receives the lines
+     * @param service the service
+     */
+    private static void addService(StringBuilder text, JsonNode service) {
+        text.append(String.format(
+                "  service %s: %d waiting%n",
+                service.path("name").asText(), service.path("waiting").asInt()));
+        text.append(String.format(
+                "    %-24s %-10s %-8s %9s %9s %9s%n",
+                "backend server", "leaving", "ejected", "in flight", "sent", "failed"));
+        for (JsonNode server : service.path("backend-servers")) {
+            text.append(String.format(
+                    "    %-24s %-10s %-8s %9d %9d %9d%n",
+                    server.path("address").asText(),
+                    server.path("leaving").asText(),
+                    server.path("ejected").asText(),
+                    server.path("in-flight").asInt(),
+                    server.path("sent").asLong(),
+                    server.path("failed").asLong()));
+        }
+    }
+
+    /**
+     * Adds a warning if there is one.
+     *
+     * @param text receives the line
+     * @param kind the kind of warning
+     * @param warning the warning, empty for none
+     */
+    private static void warn(StringBuilder text, String kind, String warning) {
+        if (!warning.isEmpty()) {
+            text.append("  ").append(kind).append(": ").append(warning).append(System.lineSeparator());
+        }
+    }
+
+    /**
+     * Returns the end of a replica's line.
+     *
+     * @param reason why the replica could not be read, empty if it answers
+     * @return the end of the line
+     */
+    private static String failure(String reason) {
+        return reason.isEmpty() ? "" : ", not reached since: " + reason;
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of operators. */
+package org.chivecourse.command;
--- /dev/null
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/MappingReader.java
@@ -0,0 +1,420 @@
+package org.chivecourse.configuration.document;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+import org.yaml.snakeyaml.nodes.SequenceNode;
+
+/** Reads the keys of one YAML mapping and refuses the keys that nobody read. */
+public final class MappingReader {
+
+    /** What is allowed for a text. */
+    private static final String TEXT = "a text of at least one character";
+
+    /** The document that holds the mapping. */
+    private final Document document;
+
+    /** The mapping. */
+    private final MappingNode mapping;
+
+    /** The path of the mapping, empty at the root. */
+    private final String path;
+
+    /** The values by key. */
+    private final Map<String, Node> values = new LinkedHashMap<>();
+
+    /** The key nodes by key. */
+    private final Map<String, Node> keys = new LinkedHashMap<>();
+
+    /** The keys that were asked for. */
+    private final Set<String> known = new LinkedHashSet<>();
+
+    /**
+     * Creates a reader.
+     *
+     * @param document the document that holds the mapping
+     * @param mapping the mapping
+     * @param path the path of the mapping, empty at the root
+     * @throws DocumentException if a key stands twice or is not a plain text
+     */
+    MappingReader(Document document, MappingNode mapping, String path) throws DocumentException {
+        this.document = document;
+        this.mapping = mapping;
+        this.path = path;
+        for (NodeTuple tuple : mapping.getValue()) {
+            add(tuple);
+        }
+    }
+
+    /**
+     * Adds a key and its value.
+     *
+     * @param tuple the key and the value
+     * @throws DocumentException if the key stands twice or is not a plain text
+     */
+    private void add(NodeTuple tuple) throws DocumentException {
+        if (!(tuple.getKeyNode() instanceof ScalarNode key)) {
+            throw document.failure(tuple.getKeyNode(), "key is not a plain text");
+        }
+        if (values.putIfAbsent(key.getValue(), tuple.getValueNode()) != null) {
+            throw document.failure(key, "key \"" + pathOf(key.getValue()) + "\" stands twice");
+        }
+        keys.put(key.getValue(), key);
+        document.located(pathOf(key.getValue()), key);
+    }
+
+    /**
+     * Returns whether a key is present, and marks it as known.
+     *
+     * @param key the key
+     * @return {@code true} if the mapping holds the key
+     */
+    public boolean has(String key) {
+        known.add(key);
+        return values.containsKey(key);
+    }
+
+    /**
+     * Returns a required text.
+     *
+     * @param key the key
+     * @return the text
+     * @throws DocumentException if the key is missing or its value is not a text of at least one character
+     */
+    public String text(String key) throws DocumentException {
+        return scalar(key, required(key, TEXT), TEXT);
+    }
+
+    /**
+     * Returns an optional text.
+     *
+     * @param key the key
+     * @param missing the value for a missing key
+     * @return the text
+     * @throws DocumentException if the value is not a text
+     */
+    public String text(String key, String missing) throws DocumentException {
+        return has(key) ? text(key) : missing;
+    }
+
+    /**
+     * Returns a required integer.
+     *
+     * @param key the key
+     * @param least the least value allowed
+     * @param most the largest value allowed
+     * @return the integer
+     * @throws DocumentException if the key is missing or its value is not an integer in the range
+     */
+    public long integer(String key, long least, long most) throws DocumentException {
+        String allowed = "an integer from " + least + " to " + most;
+        Node node = required(key, allowed);
+        String text = scalar(key, node, allowed);
+        try {
+            long value = Long.parseLong(text);
+            if (value >= least && value <= most) {
+                return value;
+            }
+        } catch (NumberFormatException exception) {
+            throw wrong(key, node, text, allowed);
+        }
+        throw wrong(key, node, text, allowed);
+    }
+
+    /**
+     * Returns an optional integer.
+     *
+     * @param key the key
+     * @param least the least value allowed
+     * @param most the largest value allowed
+     * @param missing the value for a missing key
+     * @return the integer
+     * @throws DocumentException if the value is not an integer in the range
+     */
+    public long integer(String key, long least, long most, long missing) throws DocumentException {
+        return has(key) ? integer(key, least, most) : missing;
+    }
+
+    /**
+     * Returns an optional truth value.
+     *
+     * @param key the key
+     * @param missing the value for a missing key
+     * @return the truth value
+     * @throws DocumentException if the value is neither {@code true} nor {@code false}
+     */
+    public boolean truth(String key, boolean missing) throws DocumentException {
+        if (!has(key)) {
+            return missing;
+        }
+        String allowed = "true or false";
+        Node node = required(key, allowed);
+        String text = scalar(key, node, allowed);
+        if (!text.equals("true") && !text.equals("false")) {
+            throw wrong(key, node, text, allowed);
+        }
+        return text.equals("true");
+    }
+
+    /**
+     * Returns an optional constant of an enumeration, written in lower case with hyphens.
+     *
+     * @param key the key
+     * @param type the enumeration
+     * @param missing the value for a missing key
+     * @param <E> the enumeration
+     * @return the constant
+     * @throws DocumentException if the value names no constant
+     */
+    public <E extends Enum<E>> E choice(String key, Class<E> type, E missing) throws DocumentException {
+        if (!has(key)) {
+            return missing;
+        }
+        String allowed = "one of " + names(type);
+        return constant(key, required(key, allowed), type, allowed);
+    }
+
+    /**
+     * Returns a required list of constants of an enumeration.
+     *
+     * @param key the key
+     * @param type the enumeration
+     * @param <E> the enumeration
+     * @return the constants in the order of the document
+     * @throws DocumentException if the key is missing or a value names no constant
+     */
+    public <E extends Enum<E>> List<E> choices(String key, Class<E> type) throws DocumentException {
+        String allowed = "a list of " + names(type);
+        List<E> constants = new ArrayList<>();
+        for (Node node : sequence(key, allowed)) {
+            constants.add(constant(key, node, type, allowed));
+        }
+        return List.copyOf(constants);
+    }
+
+    /**
+     * Returns a reader of a required mapping.
+     *
+     * @param key the key
+     * @return the reader
+     * @throws DocumentException if the key is missing or its value is not a mapping
+     */
+    public MappingReader mapping(String key) throws DocumentException {
+        return mappingOf(required(key, "a mapping"), pathOf(key));
+    }
+
+    /**
+     * Returns readers of the mappings in a required list.
+     *
+     * @param key the key
+     * @return the readers in the order of the document
+     * @throws DocumentException if the key is missing or its value is not a list of mappings
+     */
+    public List<MappingReader> mappings(String key) throws DocumentException {
+        List<MappingReader> readers = new ArrayList<>();
+        for (Node node : sequence(key, "a list of mappings")) {
+            String itemPath = pathOf(key) + "[" + readers.size() + "]";
+            document.located(itemPath, node);
+            readers.add(mappingOf(node, itemPath));
+        }
+        return List.copyOf(readers);
+    }
+
+    /**
+     * Returns a required list of texts.
+     *
+     * @param key the key
+     * @return the texts in the order of the document
+     * @throws DocumentException if the key is missing or its value is not a list of texts
+     */
+    public List<String> texts(String key) throws DocumentException {
+        List<String> texts = new ArrayList<>();
+        for (Node node : sequence(key, "a list of texts")) {
+            texts.add(scalar(key, node, "a list of texts"));
+        }
+        return List.copyOf(texts);
+    }
+
+    /**
+     * Refuses every key that was not asked for.
+     *
+     * @throws DocumentException if the mapping holds an unknown key
+     */
+    public void finish() throws DocumentException {
+        for (Map.Entry<String, Node> key : keys.entrySet()) {
+            if (!known.contains(key.getKey())) {
+                throw document.failure(
+                        key.getValue(),
+                        "unknown key \"" + pathOf(key.getKey()) + "\", allowed: " + String.join(", ", known));
+            }
+        }
+    }
+
+    /**
+     * Creates an exception for the value of a key that was read before.
+     *
+     * @param key the key
+     * @param allowed what is allowed
+     * @return the exception
+     */
+    public DocumentException refuse(String key, String allowed) {
+        Node node = values.getOrDefault(key, mapping);
+        return wrong(key, node, describe(node), allowed);
+    }
+
+    /**
+     * Returns the path of a key.
+     *
+     * @param key the key
+     * @return the path
+     */
+    private String pathOf(String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+
+    /**
+     * Returns the node of a required key.
+     *
+     * @param key the key
+     * @param allowed what is allowed
+     * @return the node
+     * @throws DocumentException if the key is missing
+     */
+    private Node required(String key, String allowed) throws DocumentException {
+        known.add(key);
+        Node node = values.get(key);
+        if (node == null) {
+            throw document.failure(mapping, "key \"" + pathOf(key) + "\" is missing, allowed: " + allowed);
+        }
+        return node;
+    }
+
+    /**
+     * Returns the text of a scalar node.
+     *
+     * @param key the key
+     * @param node the node
+     * @param allowed what is allowed
+     * @return the text
+     * @throws DocumentException if the node is not a scalar or is empty
+     */
+    private String scalar(String key, Node node, String allowed) throws DocumentException {
+        if (node instanceof ScalarNode scalar && !scalar.getValue().isEmpty()) {
+            return scalar.getValue();
+        }
+        throw wrong(key, node, describe(node), allowed);
+    }
+
+    /**
+     * Returns the nodes of a required sequence.
+     *
+     * @param key the key
+     * @param allowed what is allowed
+     * @return the nodes
+     * @throws DocumentException if the key is missing or its value is not a sequence
+     */
+    private List<Node> sequence(String key, String allowed) throws DocumentException {
+        Node node = required(key, allowed);
+        if (node instanceof SequenceNode sequence) {
+            return sequence.getValue();
+        }
+        throw wrong(key, node, describe(node), allowed);
+    }
+
+    /**
+     * Returns a reader of a mapping node.
+     *
+     * @param node the node
+     * @param nodePath the path of the node
+     * @return the reader
+     * @throws DocumentException if the node is not a mapping
+     */
+    private MappingReader mappingOf(Node node, String nodePath) throws DocumentException {
+        if (node instanceof MappingNode inner) {
+            return new MappingReader(document, inner, nodePath);
+        }
+        throw document.failure(
+                node, "key \"" + nodePath + "\": value \"" + describe(node) + "\" is not allowed, allowed: a mapping");
+    }
+
+    /**
+     * Returns the constant that a node names.
+     *
+     * @param key the key
+     * @param node the node
+     * @param type the enumeration
+     * @param allowed what is allowed
+     * @param <E> the enumeration
+     * @return the constant
+     * @throws DocumentException if the node names no constant
+     */
+    private <E extends Enum<E>> E constant(String key, Node node, Class<E> type, String allowed)
+            throws DocumentException {
+        String text = scalar(key, node, allowed);
+        for (E constant : type.getEnumConstants()) {
+            if (nameOf(constant).equals(text)) {
+                return constant;
+            }
+        }
+        throw wrong(key, node, text, allowed);
+    }
+
+    /**
+     * Creates an exception for a value that is not allowed.
+     *
+     * @param key the key
+     * @param node the node of the value
+     * @param text the value
+     * @param allowed what is allowed
+     * @return the exception
+     */
+    private DocumentException wrong(String key, Node node, String text, String allowed) {
+        return document.failure(
+                node, "key \"" + pathOf(key) + "\": value \"" + text + "\" is not allowed, allowed: " + allowed);
+    }
+
+    /**
+     * Returns a node's text or kind.
+     *
+     * @param node the node
+     * @return the text of a scalar, otherwise the kind of the node
+     */
+    private static String describe(Node node) {
+        return node instanceof ScalarNode scalar
+                ? scalar.getValue()
+                : node.getNodeId().toString();
+    }
+
+    /**
+     * Returns the names of an enumeration's constants in documents.
+     *
+     * @param type the enumeration
+     * @param <E> the enumeration
+     * @return the names, separated by commas
+     */
+    private static <E extends Enum<E>> String names(Class<E> type) {
+        List<String> names = new ArrayList<>();
+        for (E constant : type.getEnumConstants()) {
+            names.add(nameOf(constant));
+        }
+        return String.join(", ", names);
+    }
+
+    /**
+     * Returns the name of a constant in documents.
+     *
+     * @param constant the constant
+     * @return the name in lower case with hyphens
+     */
+    public static String nameOf(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
@@ -0,0 +1,170 @@
+package org.chivecourse.configuration.format;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.util.List;
+import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.configuration.model.Route;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.configuration.rule.ConfigurationException;
+import org.chivecourse.configuration.rule.ConfigurationRules;
+import org.chivecourse.configuration.rule.Finding;
+
+/** Prints configurations as deterministic YAML. */
+public final class ConfigurationWriter {
+
+    /** The version of the printed form. */
+    public static final int FORMAT = 1;
+
+    /** The mapper that prints trees. */
+    private final YAMLMapper mapper = new YAMLMapper(YAMLFactory.builder()
+            .disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+            .disable(YAMLGenerator.Feature.SPLIT_LINES)
+            .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES)
+            .enable(YAMLGenerator.Feature.ALWAYS_QUOTE_NUMBERS_AS_STRINGS)
+            .build());
+
+    /**
+     * Prints a configuration that meets every rule.
+     *
+     * @param configuration the configuration
+     * @return the printed configuration
+     * @throws ConfigurationException if a rule is broken, dangerous findings included
+     */
+    public PrintedConfiguration print(Configuration configuration) throws ConfigurationException {
+        List<Finding> findings = ConfigurationRules.INSTANCE.check(configuration);
+        if (!findings.isEmpty()) {
+            String source = "configuration revision " + configuration.revision();
+            throw new ConfigurationException(source, findings, path -> "");
+        }
+        return new PrintedConfiguration(configuration, printUnchecked(configuration));
+    }
+
+    /**
+     * Prints a configuration that changes another one, under a revision that has to be higher.
+     *
+     * @param configuration the configuration
+     * @param previous the printed configuration that this one changes
+     * @return the printed configuration, which names the digest of the previous one as its parent
+     * @throws ConfigurationException if a rule is broken or the revision is not higher
+     */
+    public PrintedConfiguration print(Configuration configuration, PrintedConfiguration previous)
+            throws ConfigurationException {
+        long least = previous.configuration().revision() + 1;
+        if (configuration.revision() < least) {
+            throw RevisionRule.notHigher(configuration.revision(), least);
+        }
+        return print(configuration.following(configuration.revision(), previous.digest()));
+    }
+
+    /**
+     * Returns the printed form of a configuration without checking its rules.
+     *
+     * @param configuration the configuration
+     * @return the printed form
+     */
+    public String printUnchecked(Configuration configuration) {
+        try {
+            return mapper.writeValueAsString(tree(configuration));
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a tree of texts and numbers could not be printed", exception);
+        }
+    }
+
+    /**
+     * Returns the tree of a configuration.
+     *
+     * @param configuration the configuration
+     * @return the tree
+     */
+    private ObjectNode tree(Configuration configuration) {
+        ObjectNode root = mapper.createObjectNode();
+        root.put("format", FORMAT);
+        root.put("revision", configuration.revision());
+        if (!configuration.parentDigest().isEmpty()) {
+            root.put("parent", configuration.parentDigest());
+        }
+        ArrayNode services = root.putArray("services");
+        configuration.services().forEach(service -> add(services.addObject(), service));
+        return root;
+    }
+
+    /**
+     * Fills the tree of a service.
+     *
+     * @param node receives the values
+     * @param service the service
+     */
+    private static void add(ObjectNode node, Service service) {
+        node.put("name", service.name());
+        node.put("path-prefix", service.pathPrefix());
+        node.put("priority", MappingReader.nameOf(service.priority()));
+        node.put("deadline-milliseconds", service.limits().deadline().toMillis());
+        node.put("queue-limit", service.limits().queueLimit());
+        node.put("retry-budget-percent", service.limits().retryBudgetPercent());
+        add(node, service.refusal());
+        ObjectNode measuring = node.putObject("measuring");
+        measuring.put("probes-per-second", service.measuring().probesPerSecond());
+        measuring.put("slot-share-permille", service.measuring().slotSharePermille());
+        ArrayNode routes = node.putArray("routes");
+        service.routes().forEach(route -> add(routes.addObject(), route));
+        ArrayNode servers = node.putArray("backend-servers");
+        service.backendServers().forEach(server -> add(servers.addObject(), server));
+    }
+
+    /**
+     * Adds a refusal signal.
+     *
+     * @param node receives the signal
+     * @param signal the signal
+     */
+    private static void add(ObjectNode node, RefusalSignal signal) {
+        if (!signal.declared()) {
+            return;
+        }
+        ObjectNode refusal = node.putObject("refusal");
+        refusal.put("status", signal.status());
+        refusal.put("header", signal.header());
+        refusal.put("value", signal.value());
+    }
+
+    /**
+     * Fills the tree of a route.
+     *
+     * @param node receives the values
+     * @param route the route
+     */
+    private static void add(ObjectNode node, Route route) {
+        ArrayNode methods = node.putArray("methods");
+        for (Method method : route.methods()) {
+            methods.add(MappingReader.nameOf(method));
+        }
+        node.put("path-prefix", route.pathPrefix());
+        node.put("idempotency", MappingReader.nameOf(route.idempotency()));
+        node.put("attempts", route.attempts());
+        node.put("hedged", route.hedged());
+        node.put("deadline-milliseconds", route.deadline().toMillis());
+    }
+
+    /**
+     * Fills the tree of a backend server.
+     *
+     * @param node receives the values
+     * @param server the backend server
+     */
+    private static void add(ObjectNode node, BackendServer server) {
+        node.put("address", server.address());
+        node.put("data-centre", server.dataCentre());
+        node.put("slots", server.slots());
+        node.put("connections", server.connections());
+        node.put("mode", MappingReader.nameOf(server.mode()));
+    }
+}
--- /dev/null
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/BackendServer.java
@@ -0,0 +1,68 @@
+package org.chivecourse.configuration.model;
+
+/**
+ * A backend server of a service.
+ *
+ * @param address the host name or IP number and the port, separated by a colon
+ * @param dataCentre the name of the data centre it stands in
+ * @param slots the number of requests it runs at the same time
+ * @param connections the number of connections it accepts, summed over all gateways
+ * @param mode what the configuration asks of it
+ */
+public record BackendServer(String address, String dataCentre, int slots, int connections, ServerMode mode) {
+
+    /** The number of slots where nothing else is said. */
+    public static final int DEFAULT_SLOTS = 4;
+
+    /** The number of connections where nothing else is said. */
+    public static final int DEFAULT_CONNECTIONS = 200;
+
+    /**
+     * Creates an active backend server with the default slots and connections.
+     *
+     * @param address the host name or IP number and the port, separated by a colon
+     * @return the backend server
+     */
+    public static BackendServer at(String address) {
+        return new BackendServer(address, "", DEFAULT_SLOTS, DEFAULT_CONNECTIONS, ServerMode.ACTIVE);
+    }
+
+    /**
+     * Returns this backend server in a data centre.
+     *
+     * @param name the name of the data centre
+     * @return the changed backend server
+     */
+    public BackendServer in(String name) {
+        return new BackendServer(address, name, slots, connections, mode);
+    }
+
+    /**
+     * Returns this backend server with a number of slots.
+     *
+     * @param count the number of requests it runs at the same time
+     * @return the changed backend server
+     */
+    public BackendServer slots(int count) {
+        return new BackendServer(address, dataCentre, count, connections, mode);
+    }
+
+    /**
+     * Returns this backend server with a number of connections.
+     *
+     * @param count the number of connections it accepts, summed over all gateways
+     * @return the changed backend server
+     */
+    public BackendServer connections(int count) {
+        return new BackendServer(address, dataCentre, slots, count, mode);
+    }
+
+    /**
+     * Returns this backend server as leaving.
+     *
+     * @return the changed backend server
+     */
+    public BackendServer leaving() {
+        return new BackendServer(address, dataCentre, slots, connections, ServerMode.LEAVING);
+    }
+}
--- /dev/null
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Service.java
@@ -0,0 +1,154 @@
+package org.chivecourse.configuration.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A service that callers reach below a path.
+ *
+ * @param name the name
+ * @param pathPrefix the start of the path of its requests
+ * @param priority the order in which it keeps capacity
+ * @param limits the bounds on the time, the waiting and the repetition of its requests
+ * @param refusal the answer by which its backend servers state a refusal
+ * @param measuring the bound on the work of measuring its backend servers
+ * @param routes the rules for its requests, of which the first that covers a request applies
+ * @param backendServers the backend servers
+ */
+public record Service(
+        String name,
+        String pathPrefix,
+        Priority priority,
+        Limits limits,
+        RefusalSignal refusal,
+        MeasuringBudget measuring,
+        List<Route> routes,
+        List<BackendServer> backendServers) {
+
+    /**
+     * Creates a service whose lists are copied.
+     */
+    public Service {
+        routes = List.copyOf(routes);
+        backendServers = List.copyOf(backendServers);
+    }
+
+    /**
+     * Creates a service without routes and backend servers whose requests lie below its name.
+     *
+     * @param name the name
+     * @return the service
+     */
+    public static Service named(String name) {
+        return new Service(
+                name,
+                "/" + name,
+                Priority.NORMAL,
+                Limits.DEFAULT,
+                RefusalSignal.NONE,
+                MeasuringBudget.NONE,
+                List.of(),
+                List.of());
+    }
+
+    /**
+     * Returns this service below another path.
+     *
+     * @param prefix the start of the path of its requests
+     * @return the changed service
+     */
+    public Service below(String prefix) {
+        return new Service(name, prefix, priority, limits, refusal, measuring, routes, backendServers);
+    }
+
+    /**
+     * Returns this service with a priority.
+     *
+     * @param order the order in which it keeps capacity
+     * @return the changed service
+     */
+    public Service priority(Priority order) {
+        return new Service(name, pathPrefix, order, limits, refusal, measuring, routes, backendServers);
+    }
+
+    /**
+     * Returns this service with limits.
+     *
+     * @param bounds the bounds on the time, the waiting and the repetition of its requests
+     * @return the changed service
+     */
+    public Service limits(Limits bounds) {
+        return new Service(name, pathPrefix, priority, bounds, refusal, measuring, routes, backendServers);
+    }
+
+    /**
+     * Returns this service with an answer that states a refusal.
+     *
+     * @param signal the answer by which its backend servers state a refusal
+     * @return the changed service
+     */
+    public Service refusal(RefusalSignal signal) {
+        return new Service(name, pathPrefix, priority, limits, signal, measuring, routes, backendServers);
+    }
+
+    /**
+     * Returns this service with a bound on measuring.
+     *
+     * @param budget the bound on the work of measuring its backend servers
+     * @return the changed service
+     */
+    public Service measuring(MeasuringBudget budget) {
+        return new Service(name, pathPrefix, priority, limits, refusal, budget, routes, backendServers);
+    }
+
+    /**
+     * Returns this service with one more route.
+     *
+     * @param route the route, which applies after those before it
+     * @return the changed service
+     */
+    public Service route(Route route) {
+        List<Route> longer = new ArrayList<>(routes);
+        longer.add(route);
+        return new Service(name, pathPrefix, priority, limits, refusal, measuring, longer, backendServers);
+    }
+
+    /**
+     * Returns this service with one more backend server.
+     *
+     * @param server the backend server
+     * @return the changed service
+     */
+    public Service backendServer(BackendServer server) {
+        List<BackendServer> longer = new ArrayList<>(backendServers);
+        longer.add(server);
+        return backendServers(longer);
+    }
+
+    /**
+     * Returns this service with other backend servers.
+     *
+     * @param servers the backend servers
+     * @return the changed service
+     */
+    public Service backendServers(List<BackendServer> servers) {
+        return new Service(name, pathPrefix, priority, limits, refusal, measuring, routes, servers);
+    }
+
+    /**
+     * Returns the first route that covers a request.
+     *
+     * @param method the method of the request
+     * @param path the path of the request
+     * @return the route, if there is one
+     */
+    public Optional<Route> routeFor(Method method, String path) {
+        for (Route route : routes) {
+            if (route.covers(method, path)) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
@@ -0,0 +1,259 @@
+package org.chivecourse.configuration.rule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Limits;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.configuration.model.Route;
+import org.chivecourse.configuration.model.ServerMode;
+import org.chivecourse.configuration.model.Service;
+
+/** Checks the values of a configuration, alone and together. */
+public enum ConfigurationRules {
+    /** The only instance. */
+    INSTANCE;
+
+    /** The largest number of attempts of a request. */
+    public static final int LARGEST_ATTEMPTS = 5;
+
+    /** The longest deadline, in milliseconds. */
+    public static final long LONGEST_DEADLINE_MILLISECONDS = 600_000;
+
+    /** The largest number of slots, connections and waiting requests. */
+    public static final int LARGEST_CAPACITY = 100_000;
+
+    /** The largest number of probes in a second. */
+    public static final int LARGEST_PROBE_RATE = 10_000;
+
+    /** What is allowed for a name. */
+    private static final String NAME_ALLOWED = "1 to 63 lower case letters, digits and hyphens";
+
+    /** The pattern of names. */
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+
+    /** The pattern of path prefixes. */
+    private static final Pattern PATH = Pattern.compile("/[A-Za-z0-9._~/-]*");
+
+    /** The pattern of header field names. */
+    private static final Pattern HEADER = Pattern.compile("[A-Za-z0-9!#$%&'*+.^_`|~-]+");
+
+    /** The pattern of digests. */
+    private static final Pattern DIGEST = Pattern.compile("([0-9a-f]{64})?");
+
+    /**
+     * Returns the broken rules of a configuration.
+     *
+     * @param configuration the configuration
+     * @return the findings, empty if every rule is met
+     */
+    public List<Finding> check(Configuration configuration) {
+        Findings findings = new Findings();
+        findings.range("revision", configuration.revision(), 1, Long.MAX_VALUE);
+        String parent = configuration.parentDigest();
+        findings.require(DIGEST.matcher(parent).matches(), "parent", parent, "64 hexadecimal digits");
+        findings.require(!configuration.services().isEmpty(), "services", "[]", "at least one service");
+        Set<String> names = new HashSet<>();
+        Set<String> prefixes = new HashSet<>();
+        Map<String, String> addresses = new HashMap<>();
+        for (int index = 0; index < configuration.services().size(); index++) {
+            Service service = configuration.services().get(index);
+            String path = "services[" + index + "]";
+            checkService(findings, path, service);
+            findings.require(names.add(service.name()), path + ".name", service.name(), "a name used once");
+            String prefix = service.pathPrefix();
+            findings.require(prefixes.add(prefix), path + ".path-prefix", prefix, "a path prefix used once");
+            checkServers(findings, path, service, addresses);
+        }
+        return findings.list;
+    }
+
+    /**
+     * Checks the values of a service.
+     *
+     * @param findings receives the broken rules
+     * @param path the path of the service
+     * @param service the service
+     */
+    private static void checkService(Findings findings, String path, Service service) {
+        findings.require(NAME.matcher(service.name()).matches(), path + ".name", service.name(), NAME_ALLOWED);
+        checkPrefix(findings, path, service.pathPrefix());
+        checkLimits(findings, path, service.limits());
+        int probes = service.measuring().probesPerSecond();
+        findings.range(path + ".measuring.probes-per-second", probes, 0, LARGEST_PROBE_RATE);
+        int share = service.measuring().slotSharePermille();
+        findings.range(path + ".measuring.slot-share-permille", share, 0, 1000);
+        checkRefusal(findings, path + ".refusal", service.refusal());
+        for (int index = 0; index < service.routes().size(); index++) {
+            String routePath = path + ".routes[" + index + "]";
+            checkRoute(findings, routePath, service, service.routes().get(index));
+        }
+    }
+
+    /**
+     * Checks the limits of a service.
+     *
+     * @param findings receives the broken rules
+     * @param path the path of the service
+     * @param limits the limits
+     */
+    private static void checkLimits(Findings findings, String path, Limits limits) {
+        long deadline = limits.deadline().toMillis();
+        findings.range(path + ".deadline-milliseconds", deadline, 1, LONGEST_DEADLINE_MILLISECONDS);
+        findings.range(path + ".queue-limit", limits.queueLimit(), 0, LARGEST_CAPACITY);
+        findings.range(path + ".retry-budget-percent", limits.retryBudgetPercent(), 0, 100);
+    }
+
+    /**
+     * Checks a path prefix.
+     *
+     * @param findings receives the broken rules
+     * @param path the path of the holder
+     * @param prefix the prefix
+     */
+    private static void checkPrefix(Findings findings, String path, String prefix) {
+        boolean met = PATH.matcher(prefix).matches();
+        findings.require(met, path + ".path-prefix", prefix, "a slash and then letters, digits and . _ ~ / -");
+    }
+
+    /**
+     * Checks a refusal signal.
+     *
+     * @param findings receives the broken rules
+     * @param path the path of the signal
+     * @param signal the signal
+     */
+    private static void checkRefusal(Findings findings, String path, RefusalSignal signal) {
+        if (!signal.declared()) {
+            return;
+        }
+        findings.range(path + ".status", signal.status(), 400, 599);
+        boolean named = HEADER.matcher(signal.header()).matches();
+        findings.require(named, path + ".header", signal.header(), "the name of a header field that refusals carry");
+        findings.require(
+                !signal.value().isEmpty(), path + ".value", signal.value(), "a text of at least one character");
+    }
+
+    /**
+     * Checks a route.
+     *
+     * @param findings receives the broken rules
+     * @param path the path of the route
+     * @param service the service of the route
+     * @param route the route
+     */
+    private static void checkRoute(Findings findings, String path, Service service, Route route) {
+        checkPrefix(findings, path, route.pathPrefix());
+        boolean below = route.pathPrefix().startsWith(service.pathPrefix());
+        String allowedPrefix = "a path below the service's \"" + service.pathPrefix() + "\"";
+        findings.require(below, path + ".path-prefix", route.pathPrefix(), allowedPrefix);
+        findings.require(!route.methods().isEmpty(), path + ".methods", "[]", "at least one method");
+        findings.range(path + ".attempts", route.attempts(), 1, LARGEST_ATTEMPTS);
+        long deadline = route.deadline().toMillis();
+        findings.range(path + ".deadline-milliseconds", deadline, 0, LONGEST_DEADLINE_MILLISECONDS);
+        for (Method method : route.methods()) {
+            checkRepetition(findings, path, route, method);
+        }
+    }
+
+    /**
+     * Checks that only idempotent requests are sent again.
+     *
+     * @param findings receives the broken rules
+     * @param path the path of the route
+     * @param route the route
+     * @param method a method of the route
+     */
+    private static void checkRepetition(Findings findings, String path, Route route, Method method) {
+        if (route.idempotency().covers(method)) {
+            return;
+        }
+        String reason = "because " + method + " requests of this route are not idempotent, so that a second copy"
+                + " could run the request twice; declare the route idempotent only if its backend servers make it so";
+        findings.require(route.attempts() == 1, path + ".attempts", route.attempts(), "1, " + reason);
+        findings.require(!route.hedged(), path + ".hedged", true, "false, " + reason);
+    }
+
+    /**
+     * Checks the backend servers of a service.
+     *
+     * @param findings receives the broken rules
+     * @param path the path of the service
+     * @param service the service
+     * @param addresses the addresses seen so far with the services that use them
+     */
+    private static void checkServers(Findings findings, String path, Service service, Map<String, String> addresses) {
+        boolean active = false;
+        for (int index = 0; index < service.backendServers().size(); index++) {
+            BackendServer server = service.backendServers().get(index);
+            String serverPath = path + ".backend-servers[" + index + "]";
+            active |= server.mode() == ServerMode.ACTIVE;
+            checkServer(findings, serverPath, server);
+            String other = addresses.putIfAbsent(server.address(), service.name());
+            String allowed = "an address used once, but service \"" + other + "\" uses it already";
+            findings.require(other == null, serverPath + ".address", server.address(), allowed);
+        }
+        if (!active) {
+            String problem = "service \"" + service.name() + "\" has no active backend server left, so that each of"
+                    + " its requests would be refused; keep at least one active";
+            findings.list.add(new Finding(Severity.DANGEROUS, path + ".backend-servers", problem));
+        }
+    }
+
+    /**
+     * Checks a backend server.
+     *
+     * @param findings receives the broken rules
+     * @param path the path of the backend server
+     * @param server the backend server
+     */
+    private static void checkServer(Findings findings, String path, BackendServer server) {
+        findings.require(Address.valid(server.address()), path + ".address", server.address(), Address.ALLOWED);
+        boolean named = NAME.matcher(server.dataCentre()).matches();
+        findings.require(named, path + ".data-centre", server.dataCentre(), NAME_ALLOWED);
+        findings.range(path + ".slots", server.slots(), 1, LARGEST_CAPACITY);
+        findings.range(path + ".connections", server.connections(), 1, LARGEST_CAPACITY);
+    }
+
+    /** A growing list of findings. */
+    private static final class Findings {
+
+        /** The findings so far. */
+        private final List<Finding> list = new ArrayList<>();
+
+        /**
+         * Adds a finding unless a rule is met.
+         *
+         * @param met whether the rule is met
+         * @param path the path of the value
+         * @param value the value
+         * @param allowed what is allowed
+         */
+        private void require(boolean met, String path, Object value, String allowed) {
+            if (met) {
+                return;
+            }
+            String problem = "value \"" + value + "\" is not allowed, allowed: " + allowed;
+            list.add(new Finding(Severity.INVALID, path, problem));
+        }
+
+        /**
+         * Adds a finding unless a value lies in a range.
+         *
+         * @param path the path of the value
+         * @param value the value
+         * @param least the least value allowed
+         * @param most the largest value allowed
+         */
+        private void range(String path, long value, long least, long most) {
+            require(value >= least && value <= most, path, value, "an integer from " + least + " to " + most);
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-configuration/src/test/java/org/chivecourse/configuration/format/ConfigurationWriterTest.java
@@ -0,0 +1,56 @@
+package org.chivecourse.configuration.format;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.chivecourse.configuration.TestConfigurations;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.rule.ConfigurationException;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationWriterTest {
+
+    private static final int LARGEST_VALUE_BYTES = 1024 * 1024;
+
+    private final ConfigurationWriter writer = new ConfigurationWriter();
+
+    private final ConfigurationReader reader = new ConfigurationReader();
+
+    @Test
+    void readsBackWhatItPrints() throws Exception {
+        PrintedConfiguration printed = writer.print(TestConfigurations.small(7));
+        assertThat(reader.read("test", printed.text()).printed(), equalTo(printed));
+    }
+
+    @Test
+    void printsTheSameTextForEqualConfigurations() throws Exception {
+        String first = writer.print(TestConfigurations.small(7)).text();
+        assertThat(new ConfigurationWriter().print(TestConfigurations.small(7)).text(), equalTo(first));
+    }
+
+    @Test
+    void fitsThePlatformsValueAtTheSizeOfTwoYears() throws Exception {
+        PrintedConfiguration printed = writer.print(TestConfigurations.large());
+        assertThat(printed.text().getBytes(StandardCharsets.UTF_8).length, lessThan(LARGEST_VALUE_BYTES));
+        assertThat(reader.read("test", printed.text()).printed().configuration(), equalTo(printed.configuration()));
+    }
+
+    @Test
+    void refusesARevisionThatIsNotHigher() throws Exception {
+        PrintedConfiguration previous = writer.print(TestConfigurations.small(7));
+        ConfigurationException thrown =
+                assertThrows(ConfigurationException.class, () -> writer.print(TestConfigurations.small(7), previous));
+        assertThat(thrown.getMessage(), containsString("allowed: at least 8"));
+    }
+
+    @Test
+    void namesTheParentOfAChange() throws Exception {
+        PrintedConfiguration previous = writer.print(TestConfigurations.small(7));
+        Configuration next = writer.print(TestConfigurations.small(8), previous).configuration();
+        assertThat(next.parentDigest(), equalTo(previous.digest()));
+    }
+}
--- /dev/null
+++ b/chivecourse-configuration/src/test/java/org/chivecourse/configuration/rule/ConfigurationRulesTest.java
@@ -0,0 +1,80 @@
+package org.chivecourse.configuration.rule;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+import org.chivecourse.configuration.TestConfigurations;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Limits;
+import org.chivecourse.configuration.model.MeasuringBudget;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.configuration.model.Route;
+import org.chivecourse.configuration.model.Service;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class ConfigurationRulesTest {
+
+    private static final Service JOBS = TestConfigurations.jobs();
+
+    @Test
+    void findsNothingInAValidConfiguration() {
+        assertThat(ConfigurationRules.INSTANCE.check(TestConfigurations.small(1)), empty());
+    }
+
+    @ParameterizedTest
+    @MethodSource("mistakes")
+    void findsAMistakeAndSaysWhatIsAllowed(Configuration configuration, String path, String problem) {
+        List<Finding> findings = ConfigurationRules.INSTANCE.check(configuration);
+        assertThat(findings, hasSize(1));
+        assertThat(findings.get(0).path(), equalTo(path));
+        assertThat(findings.get(0).problem(), containsString(problem));
+    }
+
+    static Stream<Arguments> mistakes() {
+        BackendServer server = BackendServer.at("10.0.0.9:80").in("si-a");
+        return Stream.of(
+                mistake(JOBS.route(Route.of("/jobs/more", Method.POST).attempts(2)), "routes[2].attempts", "POST"),
+                mistake(JOBS.route(Route.of("/jobs/more", Method.PATCH).hedging()), "routes[2].hedged", "PATCH"),
+                mistake(JOBS.route(Route.of("/jobs/more", Method.GET).attempts(6)), "routes[2].attempts", "1 to 5"),
+                mistake(JOBS.route(Route.of("/other", Method.GET)), "routes[2].path-prefix", "\"/jobs\""),
+                mistake(JOBS.backendServer(BackendServer.at("10.0.0.1:80").in("si-a")), address(), "used once"),
+                mistake(JOBS.backendServer(BackendServer.at("10.0.0.9").in("si-a")), address(), "a port"),
+                mistake(JOBS.backendServer(BackendServer.at("10.0.0.9:65536").in("si-a")), address(), "65535"),
+                mistake(JOBS.backendServer(server.slots(0)), "backend-servers[2].slots", "1 to 100000"),
+                mistake(JOBS.backendServer(server.connections(0)), "backend-servers[2].connections", "1 to 100000"),
+                mistake(JOBS.backendServer(server.in("")), "backend-servers[2].data-centre", "letters"),
+                mistake(JOBS.limits(Limits.DEFAULT.deadline(Duration.ZERO)), "deadline-milliseconds", "1 to 600000"),
+                mistake(JOBS.limits(Limits.DEFAULT.queueLimit(-1)), "queue-limit", "0 to 100000"),
+                mistake(JOBS.limits(Limits.DEFAULT.retryBudgetPercent(101)), "retry-budget-percent", "0 to 100"),
+                mistake(JOBS.measuring(new MeasuringBudget(-1, 0)), "measuring.probes-per-second", "0 to 10000"),
+                mistake(JOBS.measuring(new MeasuringBudget(0, 1001)), "measuring.slot-share-permille", "0 to 1000"),
+                mistake(JOBS.refusal(new RefusalSignal(200, "Refused", "yes")), "refusal.status", "400 to 599"),
+                mistake(JOBS.refusal(new RefusalSignal(503, "Bad name", "yes")), "refusal.header", "header field"),
+                mistake(JOBS.refusal(new RefusalSignal(503, "Refused", "")), "refusal.value", "one character"),
+                mistake(
+                        JOBS.backendServers(List.of(server.leaving())),
+                        "backend-servers",
+                        "no active backend server left"),
+                Arguments.of(Configuration.revision(1), "services", "at least one service"),
+                Arguments.of(Configuration.revision(0).service(JOBS), "revision", "from 1"));
+    }
+
+    private static String address() {
+        return "backend-servers[2].address";
+    }
+
+    private static Arguments mistake(Service service, String path, String problem) {
+        return Arguments.of(Configuration.revision(1).service(service), "services[0]." + path, problem);
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallLedger.java
@@ -0,0 +1,137 @@
+package org.chivecourse.coordination.call;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.state.call.AttemptState;
+import org.chivecourse.state.call.CallPhase;
+import org.chivecourse.state.call.CallState;
+import org.chivecourse.state.server.ServerState;
+
+/** The calls without a final answer and their open attempts. */
+final class CallLedger {
+
+    /** The calls without a final answer, by identifier. */
+    private final Map<Long, CallState> calls = new HashMap<>();
+
+    /** The attempts that have not ended, by identifier. */
+    private final Map<Long, AttemptState> attempts = new HashMap<>();
+
+    /** The calls in the order of their deadlines; finished calls leave when their deadline passes. */
+    private final PriorityQueue<CallState> deadlines =
+            new PriorityQueue<>(Comparator.comparingLong(call -> call.terms().deadline()));
+
+    /** The number of attempts so far. */
+    private long attemptCount;
+
+    /**
+     * Adds a call.
+     *
+     * @param call the call
+     */
+    void add(CallState call) {
+        calls.put(call.identifier(), call);
+        deadlines.add(call);
+    }
+
+    /**
+     * Returns a call.
+     *
+     * @param identifier the identifier of the call
+     * @return the call, or {@code null} if it has its final answer
+     */
+    CallState call(long identifier) {
+        return calls.get(identifier);
+    }
+
+    /**
+     * Returns an attempt.
+     *
+     * @param identifier the identifier of the attempt
+     * @return the attempt, or {@code null} if it has ended
+     */
+    AttemptState attempt(long identifier) {
+        return attempts.get(identifier);
+    }
+
+    /**
+     * Starts an attempt of a call.
+     *
+     * @param call the call
+     * @param server the backend server
+     * @return the attempt
+     */
+    AttemptState begin(CallState call, ServerState server) {
+        AttemptState attempt = new AttemptState(++attemptCount, call, server);
+        call.add(attempt);
+        call.enter(CallPhase.ATTEMPTING);
+        attempts.put(attempt.identifier(), attempt);
+        server.begin();
+        return attempt;
+    }
+
+    /**
+     * Ends an attempt.
+     *
+     * @param identifier the identifier of the attempt
+     * @return the attempt, or {@code null} if it has ended before
+     */
+    AttemptState end(long identifier) {
+        AttemptState attempt = attempts.remove(identifier);
+        return attempt != null && attempt.end() ? attempt : null;
+    }
+
+    /**
+     * Finishes a call and drops its open attempts.
+     *
+     * @param call the call
+     * @param sink receives the decisions that follow
+     */
+    void finish(CallState call, DecisionSink sink) {
+        call.enter(CallPhase.FINISHED);
+        calls.remove(call.identifier());
+        dropOthers(call, null, sink);
+    }
+
+    /**
+     * Drops the open attempts of a call but one.
+     *
+     * @param call the call
+     * @param kept the attempt that goes on, {@code null} for none
+     * @param sink receives the decisions that follow
+     */
+    void dropOthers(CallState call, AttemptState kept, DecisionSink sink) {
+        for (AttemptState attempt : call.attempts()) {
+            if (attempt != kept && !attempt.ended()) {
+                end(attempt.identifier());
+                sink.decide(new Decision.Drop(attempt.identifier()));
+            }
+        }
+    }
+
+    /**
+     * Removes a call whose deadline has passed from the order of deadlines.
+     *
+     * @param now the time in nanoseconds
+     * @return the call, possibly finished, or {@code null} if no deadline has passed
+     */
+    CallState pollExpired(long now) {
+        CallState first = deadlines.peek();
+        if (first == null || first.terms().deadline() - now > 0) {
+            return null;
+        }
+        return deadlines.poll();
+    }
+
+    /**
+     * Returns the number of calls without a final answer.
+     *
+     * @return the number of calls
+     */
+    int size() {
+        return calls.size();
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/TermsOfCalls.java
@@ -0,0 +1,57 @@
+package org.chivecourse.coordination.call;
+
+import java.util.Optional;
+import org.chivecourse.configuration.model.Route;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.state.call.CallTerms;
+
+/** Derives the terms of calls from the configuration and from what the caller asks. */
+final class TermsOfCalls {
+
+    /** Not to be constructed. */
+    private TermsOfCalls() {}
+
+    /**
+     * Returns the terms of an arrival.
+     *
+     * @param service the service
+     * @param arrival what is known of the request
+     * @param now the time in nanoseconds
+     * @return the terms
+     */
+    static CallTerms of(Service service, Arrival arrival, long now) {
+        Optional<Route> route = service.routeFor(arrival.method(), arrival.path());
+        boolean idempotent = route.map(known -> known.idempotency().covers(arrival.method()))
+                .orElse(arrival.method().idempotent());
+        return new CallTerms(
+                service.name(),
+                arrival.method(),
+                arrival.path(),
+                idempotent,
+                route.map(Route::attempts).orElse(1),
+                route.map(Route::hedged).orElse(false),
+                arrival.replayable(),
+                arrival.key(),
+                arrival.fingerprint(),
+                now,
+                now + allowedNanoseconds(service, route, arrival));
+    }
+
+    /**
+     * Returns the time for a request: that of its route or service, or less if the caller asks so.
+     *
+     * @param service the service
+     * @param route the route, if one covers the request
+     * @param arrival what is known of the request
+     * @return the time in nanoseconds
+     */
+    private static long allowedNanoseconds(Service service, Optional<Route> route, Arrival arrival) {
+        long configured = route.filter(known -> !known.deadline().isZero())
+                .map(Route::deadline)
+                .orElse(service.limits().deadline())
+                .toNanos();
+        long asked = arrival.remainingNanoseconds();
+        return asked > 0 ? Math.min(configured, asked) : configured;
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
@@ -0,0 +1,59 @@
+package org.chivecourse.coordination.choice;
+
+import java.util.random.RandomGenerator;
+import org.chivecourse.state.server.ServerState;
+
+/** A way to choose a backend server among candidates. */
+public enum ChoicePolicy {
+    /** Chooses each candidate with the same probability. */
+    RANDOM {
+        @Override
+        public ServerState choose(Candidates candidates, long turn, RandomGenerator random) {
+            return candidates.get(random.nextInt(candidates.size()));
+        }
+    },
+
+    /** Chooses the candidates in turn. */
+    ROUND_ROBIN {
+        @Override
+        public ServerState choose(Candidates candidates, long turn, RandomGenerator random) {
+            return candidates.get((int) Math.floorMod(turn, (long) candidates.size()));
+        }
+    },
+
+    /** Chooses the candidate with the fewest requests of this host, and the first at random among equals. */
+    LEAST_IN_FLIGHT {
+        @Override
+        public ServerState choose(Candidates candidates, long turn, RandomGenerator random) {
+            int start = random.nextInt(candidates.size());
+            ServerState best = candidates.get(start);
+            for (int offset = 1; offset < candidates.size(); offset++) {
+                ServerState other = candidates.get((start + offset) % candidates.size());
+                if (other.ownInFlight() < best.ownInFlight()) {
+                    best = other;
+                }
+            }
+            return best;
+        }
+    },
+
+    /** Chooses of two random candidates the one with the fewer requests of this host. */
+    POWER_OF_TWO {
+        @Override
+        public ServerState choose(Candidates candidates, long turn, RandomGenerator random) {
+            ServerState first = candidates.get(random.nextInt(candidates.size()));
+            ServerState second = candidates.get(random.nextInt(candidates.size()));
+            return second.ownInFlight() < first.ownInFlight() ? second : first;
+        }
+    };
+
+    /**
+     * Chooses a candidate.
+     *
+     * @param candidates the candidates, at least one
+     * @param turn the number of choices made before for the service
+     * @param random the source of randomness
+     * @return the chosen backend server
+     */
+    public abstract ServerState choose(Candidates candidates, long turn, RandomGenerator random);
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The order in which configurations come into force on a host. */
+package org.chivecourse.coordination.configuration;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -0,0 +1,102 @@
+package org.chivecourse.coordination.decision;
+
+import org.chivecourse.configuration.format.PrintedConfiguration;
+
+/** Something that the transport has to do. */
+public sealed interface Decision {
+
+    /**
+     * Connect to a backend server and report when the connection is ready.
+     *
+     * @param call the identifier of the call
+     * @param attempt the identifier of the attempt, unique on the host
+     * @param address the address of the backend server
+     * @param deadline the time in nanoseconds at which the caller gets an answer in any case
+     * @param number the number of this attempt among those of the call, counted from one
+     */
+    record Send(long call, long attempt, String address, long deadline, int number) implements Decision {}
+
+    /**
+     * Hand the request to the connection that is ready.
+     *
+     * @param attempt the identifier of the attempt
+     */
+    record Proceed(long attempt) implements Decision {}
+
+    /**
+     * Hand nothing to the connection that is ready.
+     *
+     * @param attempt the identifier of the attempt
+     */
+    record Withdraw(long attempt) implements Decision {}
+
+    /**
+     * Pass the answer of an attempt to the caller.
+     *
+     * @param call the identifier of the call
+     * @param attempt the identifier of the attempt
+     */
+    record Deliver(long call, long attempt) implements Decision {}
+
+    /**
+     * Abandon an attempt and never use its connection again.
+     *
+     * @param attempt the identifier of the attempt
+     */
+    record Drop(long attempt) implements Decision {}
+
+    /**
+     * Answer the caller in the gateway's own name.
+     *
+     * @param call the identifier of the call
+     * @param refusal what to tell the caller
+     */
+    record Refuse(long call, Refusal refusal) implements Decision {}
+
+    /**
+     * Use a configuration from now on.
+     *
+     * @param configuration the configuration
+     */
+    record Apply(PrintedConfiguration configuration) implements Decision {}
+
+    /**
+     * Record a change for operators.
+     *
+     * @param change the change
+     */
+    record Audit(Change change) implements Decision {}
+
+    /**
+     * What a gateway tells a caller in its own name.
+     *
+     * @param outcome whether the request may have run
+     * @param reason why the gateway gave up
+     * @param retryAfterSeconds when a copy of the request makes sense, zero if it never does
+     */
+    record Refusal(Outcome outcome, Reason reason, int retryAfterSeconds) {}
+
+    /**
+     * A change that operators see.
+     *
+     * @param subject what changed
+     * @param name the name of the thing that changed
+     * @param from the value before
+     * @param to the value now
+     * @param cause why it changed
+     * @param revision the revision of the configuration in force
+     */
+    record Change(Subject subject, String name, String from, String to, String cause, long revision) {}
+
+    /** The kinds of things of which operators see changes. */
+    enum Subject {
+        /** The configuration in force. */
+        CONFIGURATION,
+
+        /** Whether a backend server is leaving. */
+        SERVER_LEAVING,
+
+        /** Whether a backend server is ejected. */
+        SERVER_EJECTED
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Arrival.java
@@ -0,0 +1,34 @@
+package org.chivecourse.coordination.event;
+
+import org.chivecourse.configuration.model.Method;
+
+/**
+ * What the transport tells of a request that arrived.
+ *
+ * @param method the method
+ * @param path the path without its query
+ * @param remainingNanoseconds the time that the caller gives the request, zero if it names none
+ * @param depth the number of gateways that the call passed before this one
+ * @param replayable whether the request's body can be sent again
+ * @param key the idempotency key, empty if the caller gave none
+ * @param fingerprint a number that copies of the request share
+ */
+public record Arrival(
+        Method method,
+        String path,
+        long remainingNanoseconds,
+        int depth,
+        boolean replayable,
+        String key,
+        long fingerprint) {
+
+    /**
+     * Creates an arrival without a deadline, a key and a body.
+     *
+     * @param method the method
+     * @param path the path without its query
+     */
+    public Arrival(Method method, String path) {
+        this(method, path, 0, 0, true, "", 0);
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
@@ -0,0 +1,108 @@
+package org.chivecourse.coordination.event;
+
+import org.chivecourse.configuration.format.ReadConfiguration;
+import org.chivecourse.state.server.LeavingCause;
+import org.chivecourse.state.server.LoadReport;
+
+/** Something that happened to a host. */
+public sealed interface Event {
+
+    /**
+     * A configuration was read from the configuration service or from another gateway.
+     *
+     * @param configuration the configuration
+     * @param source the address it came from
+     */
+    record ConfigurationRead(ReadConfiguration configuration, String source) implements Event {}
+
+    /**
+     * A configuration could not be read.
+     *
+     * @param source the address it came from
+     * @param reason what is wrong
+     */
+    record ConfigurationRejected(String source, String reason) implements Event {}
+
+    /**
+     * A request arrived.
+     *
+     * @param call the identifier of the call, unique on the host
+     * @param arrival what is known of the request
+     */
+    record CallArrived(long call, Arrival arrival) implements Event {}
+
+    /**
+     * A connection is ready and no byte was handed to it; answered by {@code Proceed} or {@code Withdraw}.
+     *
+     * @param attempt the identifier of the attempt
+     */
+    record AttemptReady(long attempt) implements Event {}
+
+    /**
+     * An attempt ended before any byte was handed to a connection.
+     *
+     * @param attempt the identifier of the attempt
+     * @param reason what happened
+     */
+    record AttemptUnsent(long attempt, String reason) implements Event {}
+
+    /**
+     * The header of an answer arrived.
+     *
+     * @param attempt the identifier of the attempt
+     * @param answer what the header says
+     */
+    record AnswerStarted(long attempt, AnswerHead answer) implements Event {}
+
+    /**
+     * An answer arrived whole.
+     *
+     * @param attempt the identifier of the attempt
+     */
+    record AnswerCompleted(long attempt) implements Event {}
+
+    /**
+     * An attempt ended after bytes were handed to a connection and before its answer was whole.
+     *
+     * @param attempt the identifier of the attempt
+     * @param reason what happened
+     */
+    record AttemptBroken(long attempt, String reason) implements Event {}
+
+    /**
+     * The caller closed its connection or gave up.
+     *
+     * @param call the identifier of the call
+     */
+    record CallerLeft(long call) implements Event {}
+
+    /**
+     * Time passed; told at least every {@code HostCore.TICK_NANOSECONDS}.
+     */
+    record TimePassed() implements Event {}
+
+    /**
+     * A backend server was found to be leaving.
+     *
+     * @param address the address of the backend server
+     * @param cause how the host learnt of it
+     */
+    record ServerLeaving(String address, LeavingCause cause) implements Event {}
+
+    /**
+     * A backend server that was leaving was found to stay.
+     *
+     * @param address the address of the backend server
+     */
+    record ServerStaying(String address) implements Event {}
+
+    /**
+     * What the header of an answer says.
+     *
+     * @param status the status code
+     * @param refused whether the answer is the refusal signal of its service
+     * @param leaving whether the backend server says that it is leaving
+     * @param report the load that the backend server states, {@code null} if it states none
+     */
+    record AnswerHead(int status, boolean refused, boolean leaving, LoadReport report) {}
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/package-info.java
@@ -0,0 +1,2 @@
+/** What happens to a host, as told to its decision core. */
+package org.chivecourse.coordination.event;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -0,0 +1,173 @@
+package org.chivecourse.coordination.host;
+
+import java.util.random.RandomGenerator;
+import org.chivecourse.configuration.rule.Finding;
+import org.chivecourse.coordination.call.CallCoordinator;
+import org.chivecourse.coordination.call.ServiceRegister;
+import org.chivecourse.coordination.configuration.ConfigurationRegister;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.event.Event;
+
+/**
+ * The entry to a host's decisions.
+ *
+ * <p>The core opens nothing, starts no thread and reads no clock: whoever drives it tells it each event with the time
+ * in nanoseconds of one monotonic clock, one event at a time, and carries out the decisions in their order.
+ */
+public final class HostCore {
+
+    /** The longest time between two {@link Event.TimePassed} events, in nanoseconds. */
+    public static final long TICK_NANOSECONDS = 5_000_000;
+
+    /** The configuration in force. */
+    private final ConfigurationRegister configurations = new ConfigurationRegister();
+
+    /** The services of the configuration in force. */
+    private final ServiceRegister services;
+
+    /** The calls. */
+    private final CallCoordinator calls;
+
+    /**
+     * Creates a core without a configuration.
+     *
+     * @param settings what the core knows of its host
+     * @param random the source of randomness
+     */
+    public HostCore(HostSettings settings, RandomGenerator random) {
+        services = new ServiceRegister();
+        calls = new CallCoordinator(settings, services, random);
+    }
+
+    /**
+     * Handles an event.
+     *
+     * @param event the event
+     * @param now the time in nanoseconds, never less than in the call before
+     * @param sink receives the decisions that follow
+     */
+    public void handle(Event event, long now, DecisionSink sink) {
+        if (event instanceof Event.CallArrived arrived) {
+            calls.arrive(arrived, now, sink);
+        } else if (event instanceof Event.AttemptReady ready) {
+            calls.ready(ready.attempt(), now, sink);
+        } else if (event instanceof Event.AnswerStarted started) {
+            calls.answerStarted(started, now, sink);
+        } else if (event instanceof Event.AnswerCompleted completed) {
+            calls.answerCompleted(completed.attempt(), now, sink);
+        } else if (event instanceof Event.AttemptUnsent unsent) {
+            calls.unsent(unsent, now, sink);
+        } else if (event instanceof Event.AttemptBroken broken) {
+            calls.broken(broken, now, sink);
+        } else if (event instanceof Event.CallerLeft left) {
+            calls.callerLeft(left.call(), now, sink);
+        } else if (event instanceof Event.TimePassed) {
+            calls.timePassed(now, sink);
+        } else {
+            handleKnowledge(event, now, sink);
+        }
+    }
+
+    /**
+     * Handles an event that concerns no single call.
+     *
+     * @param event the event
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    private void handleKnowledge(Event event, long now, DecisionSink sink) {
+        if (event instanceof Event.ConfigurationRead read) {
+            configurationRead(read, now, sink);
+        } else if (event instanceof Event.ConfigurationRejected rejected) {
+            configurationRejected(rejected, sink);
+        } else if (event instanceof Event.ServerLeaving leaving) {
+            services.leave(leaving.address(), leaving.cause(), configurations.revision(), sink);
+        } else if (event instanceof Event.ServerStaying staying) {
+            services.stay(staying.address(), configurations.revision(), sink);
+            calls.capacityChanged(now, sink);
+        }
+    }
+
+    /**
+     * Puts a configuration in force if it is higher than the one that is.
+     *
+     * @param event the configuration and its source
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    private void configurationRead(Event.ConfigurationRead event, long now, DecisionSink sink) {
+        long before = configurations.revision();
+        String conflictBefore = configurations.conflict();
+        boolean applied = configurations.offer(event.configuration());
+        if (!configurations.conflict().equals(conflictBefore)) {
+            sink.decide(change("conflict", "", configurations.conflict(), event.source()));
+        }
+        if (!applied) {
+            return;
+        }
+        long revision = configurations.revision();
+        sink.decide(change("in force", Long.toString(before), Long.toString(revision), event.source()));
+        for (Finding danger : event.configuration().dangers()) {
+            sink.decide(change("danger", "", danger.problem(), event.source()));
+        }
+        services.apply(event.configuration().printed().configuration(), now);
+        sink.decide(new Decision.Apply(event.configuration().printed()));
+        calls.capacityChanged(now, sink);
+    }
+
+    /**
+     * Records that a configuration was rejected.
+     *
+     * @param event the reason and the source
+     * @param sink receives the decisions that follow
+     */
+    private void configurationRejected(Event.ConfigurationRejected event, DecisionSink sink) {
+        if (event.reason().equals(configurations.rejection())) {
+            return;
+        }
+        configurations.reject(event.reason());
+        sink.decide(change("rejected", "", event.reason(), event.source()));
+    }
+
+    /**
+     * Creates the audit record of a change of the configuration.
+     *
+     * @param name the kind of change
+     * @param from the value before
+     * @param to the value now
+     * @param cause the source of the configuration
+     * @return the decision
+     */
+    private Decision change(String name, String from, String to, String cause) {
+        return new Decision.Audit(
+                new Decision.Change(Decision.Subject.CONFIGURATION, name, from, to, cause, configurations.revision()));
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the register of configurations
+     */
+    public ConfigurationRegister configurations() {
+        return configurations;
+    }
+
+    /**
+     * Returns the services of the configuration in force.
+     *
+     * @return the register of services
+     */
+    public ServiceRegister services() {
+        return services;
+    }
+
+    /**
+     * Returns the number of calls that have no final answer yet.
+     *
+     * @return the number of calls
+     */
+    public int openCalls() {
+        return calls.open();
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/package-info.java
@@ -0,0 +1,2 @@
+/** The decision core of a host: events with their time go in, decisions come out, and nothing else happens. */
+package org.chivecourse.coordination.host;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/package-info.java
@@ -0,0 +1,2 @@
+/** The bounds on what a host accepts and sends. */
+package org.chivecourse.coordination.limit;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/retry/package-info.java
@@ -0,0 +1,2 @@
+/** The rules by which a request is sent again. */
+package org.chivecourse.coordination.retry;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/LoadReportField.java
@@ -0,0 +1,43 @@
+package org.chivecourse.protocol.http;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.chivecourse.state.server.LoadReport;
+
+/** The value of the header field {@link HeaderNames#LOAD_REPORT}, such as {@code in-flight=3, slots=4}. */
+public final class LoadReportField {
+
+    /** The pattern of values. */
+    private static final Pattern PATTERN = Pattern.compile("in-flight=([0-9]{1,6}), slots=([0-9]{1,6})");
+
+    /** Not to be constructed. */
+    private LoadReportField() {}
+
+    /**
+     * Prints a report.
+     *
+     * @param report the report
+     * @return the value of the header field
+     */
+    public static String print(LoadReport report) {
+        return "in-flight=" + report.inFlight() + ", slots=" + report.slots();
+    }
+
+    /**
+     * Reads a report.
+     *
+     * @param value the value of the header field, {@code null} if it is absent
+     * @return the report, empty if the value is absent or malformed
+     */
+    public static Optional<LoadReport> read(String value) {
+        if (value == null) {
+            return Optional.empty();
+        }
+        Matcher matcher = PATTERN.matcher(value);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        return Optional.of(new LoadReport(Integer.parseInt(matcher.group(1)), Integer.parseInt(matcher.group(2))));
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/ProblemDocument.java
@@ -0,0 +1,43 @@
+package org.chivecourse.protocol.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.coordination.decision.Decision;
+
+/** The answer that a gateway gives in its own name, as a problem document of RFC 9457. */
+public final class ProblemDocument {
+
+    /** The media type of problem documents. */
+    public static final String MEDIA_TYPE = "application/problem+json";
+
+    /** The mapper that prints trees. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Not to be constructed. */
+    private ProblemDocument() {}
+
+    /**
+     * Prints a refusal.
+     *
+     * @param refusal the refusal
+     * @return the document in UTF-8
+     */
+    public static byte[] print(Decision.Refusal refusal) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("type", "about:blank");
+        node.put("title", refusal.reason().text());
+        node.put("status", refusal.reason().status());
+        node.put("outcome", MappingReader.nameOf(refusal.outcome()));
+        node.put("reason", MappingReader.nameOf(refusal.reason()));
+        if (refusal.retryAfterSeconds() > 0) {
+            node.put("retry-after-seconds", refusal.retryAfterSeconds());
+        }
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a tree of texts and numbers could not be printed", exception);
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/RequestTarget.java
@@ -0,0 +1,106 @@
+package org.chivecourse.protocol.http;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * The target of a request.
+ *
+ * @param path the path as rules see it: decoded, without the query and with single slashes
+ * @param forwarded the path and query as they are passed on
+ */
+public record RequestTarget(String path, String forwarded) {
+
+    /** The number of characters of an escaped octet after its percent sign. */
+    private static final int ESCAPE_DIGITS = 2;
+
+    /** The base of the digits of an escaped octet. */
+    private static final int ESCAPE_BASE = 16;
+
+    /**
+     * Reads a target.
+     *
+     * @param target the target as the caller sent it, in origin form or absolute form
+     * @return the target
+     * @throws BadRequestException if rules and backend servers could read the path differently
+     */
+    public static RequestTarget read(String target) throws BadRequestException {
+        String origin = origin(target);
+        int query = origin.indexOf('?');
+        String raw = query < 0 ? origin : origin.substring(0, query);
+        String path = decoded(raw);
+        for (String segment : path.split("[/;]", -1)) {
+            if (segment.equals(".") || segment.equals("..")) {
+                throw new BadRequestException("path \"" + raw + "\" holds a dot segment");
+            }
+        }
+        return new RequestTarget(path, origin);
+    }
+
+    /**
+     * Returns the origin form of a target.
+     *
+     * @param target the target as the caller sent it
+     * @return the path and query
+     * @throws BadRequestException if the target has neither origin form nor absolute form
+     */
+    private static String origin(String target) throws BadRequestException {
+        if (target.startsWith("/")) {
+            return target;
+        }
+        int authority = target.indexOf("://");
+        if (authority < 0) {
+            throw new BadRequestException("target \"" + target + "\" is not a path");
+        }
+        int path = target.indexOf('/', authority + 3);
+        return path < 0 ? "/" : target.substring(path);
+    }
+
+    /**
+     * Decodes a path and merges repeated slashes.
+     *
+     * @param raw the path as the caller sent it
+     * @return the decoded path
+     * @throws BadRequestException if an escape is malformed or hides a separator or a control character
+     */
+    private static String decoded(String raw) throws BadRequestException {
+        byte[] octets = new byte[raw.length()];
+        int length = 0;
+        int index = 0;
+        while (index < raw.length()) {
+            int octet = raw.charAt(index++);
+            if (octet == '%') {
+                octet = escaped(raw, index);
+                index += ESCAPE_DIGITS;
+            }
+            if (octet == '/' && length > 0 && octets[length - 1] == '/') {
+                continue;
+            }
+            if (octet < ' ' || octet == '\\' || octet > 0xff) {
+                throw new BadRequestException("path \"" + raw + "\" holds a character that paths may not hold");
+            }
+            octets[length++] = (byte) octet;
+        }
+        return new String(octets, 0, length, StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Returns an escaped octet that is not a separator.
+     *
+     * @param raw the path as the caller sent it
+     * @param index the place after the percent sign
+     * @return the octet
+     * @throws BadRequestException if the escape is malformed or stands for a separator
+     */
+    private static int escaped(String raw, int index) throws BadRequestException {
+        if (index + ESCAPE_DIGITS > raw.length()) {
+            throw new BadRequestException("path \"" + raw + "\" ends within an escape");
+        }
+        int high = Character.digit(raw.charAt(index), ESCAPE_BASE);
+        int low = Character.digit(raw.charAt(index + 1), ESCAPE_BASE);
+        int octet = high * ESCAPE_BASE + low;
+        if (high < 0 || low < 0 || octet == '/' || octet == ';') {
+            throw new BadRequestException("path \"" + raw + "\" holds a malformed or ambiguous escape");
+        }
+        return octet;
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/Evidence.java
@@ -0,0 +1,34 @@
+package org.chivecourse.state.call;
+
+/** What a host knows of an attempt's effect on the backend server. */
+public enum Evidence {
+    /** No byte was handed to a connection. */
+    NOT_SENT(true),
+
+    /** The backend server refused the request with the signal that its service declares. */
+    REFUSED(true),
+
+    /** Bytes were handed to a connection, and nothing excludes that the request ran. */
+    MAY_HAVE_RUN(false);
+
+    /** Whether the evidence proves that the request did not run. */
+    private final boolean notRun;
+
+    /**
+     * Creates evidence.
+     *
+     * @param notRun whether it proves that the request did not run
+     */
+    Evidence(boolean notRun) {
+        this.notRun = notRun;
+    }
+
+    /**
+     * Returns whether the evidence proves that the request did not run.
+     *
+     * @return {@code true} if nothing that could act on the request has received it
+     */
+    public boolean notRun() {
+        return notRun;
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
@@ -0,0 +1,88 @@
+package org.chivecourse.transport.driver;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.host.HostCore;
+
+/** Feeds events into a decision core, one at a time, and hands its decisions to a performer. */
+public final class CoreDriver {
+
+    /** The decision core. */
+    private final HostCore core;
+
+    /** Admits one thread at a time to the decision core. */
+    private final ReentrantLock lock = new ReentrantLock();
+
+    /** The last identifier given to a call. */
+    private final AtomicLong lastCall = new AtomicLong();
+
+    /** Carries out decisions, set before the first event. */
+    private volatile DecisionSink performer;
+
+    /**
+     * Creates a driver.
+     *
+     * @param core the decision core
+     */
+    public CoreDriver(HostCore core) {
+        this.core = core;
+    }
+
+    /**
+     * Sets what carries out decisions.
+     *
+     * @param sink carries out a decision without blocking
+     */
+    public void perform(DecisionSink sink) {
+        performer = sink;
+    }
+
+    /**
+     * Returns an identifier for a new call.
+     *
+     * @return the identifier
+     */
+    public long nextCall() {
+        return lastCall.incrementAndGet();
+    }
+
+    /**
+     * Tells the core an event and carries out the decisions that follow before it returns.
+     *
+     * @param event the event
+     */
+    public void handle(Event event) {
+        List<Decision> decisions = new ArrayList<>(2);
+        lock.lock();
+        try {
+            core.handle(event, System.nanoTime(), decisions::add);
+        } finally {
+            lock.unlock();
+        }
+        for (Decision decision : decisions) {
+            performer.decide(decision);
+        }
+    }
+
+    /**
+     * Reads from the core while no event is being handled.
+     *
+     * @param reader reads and must not change anything
+     * @param <T> the type of what is read
+     * @return what was read
+     */
+    public <T> T read(Function<HostCore, T> reader) {
+        lock.lock();
+        try {
+            return reader.apply(core);
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -0,0 +1,266 @@
+package org.chivecourse.transport.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.protocol.http.HeaderNames;
+import org.chivecourse.protocol.http.LoadReportField;
+import org.chivecourse.transport.driver.CoreDriver;
+import org.reactivestreams.Publisher;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.Connection;
+import reactor.netty.NettyOutbound;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientRequest;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** One sending of a request to a backend server. */
+final class BackendAttempt {
+
+    /** The decision that started the attempt. */
+    private final Decision.Send send;
+
+    /** The exchange with the caller. */
+    private final CallerExchange exchange;
+
+    /** The driver of the decision core. */
+    private final CoreDriver driver;
+
+    /** The register that holds this attempt. */
+    private final ExchangeRegister register;
+
+    /** Whether the core was told the end of the attempt, or does not want to know. */
+    private final AtomicBoolean ended = new AtomicBoolean();
+
+    /** Ends the client's interest in the connection. */
+    private final Sinks.Empty<Void> consumed = Sinks.empty();
+
+    /** Whether the request may be handed to the connection. */
+    private volatile boolean proceeding;
+
+    /** Whether the attempt is abandoned. */
+    private volatile boolean dropped;
+
+    /** The header of the answer, {@code null} before it arrives. */
+    private volatile HttpClientResponse response;
+
+    /** The connection, {@code null} before it is ready. */
+    private volatile Connection connection;
+
+    /** The subscription to the client. */
+    private volatile Disposable subscription;
+
+    /**
+     * Creates an attempt that is not started.
+     *
+     * @param send the decision that starts the attempt
+     * @param exchange the exchange with the caller
+     * @param driver the driver of the decision core
+     * @param register the register that holds this attempt
+     */
+    BackendAttempt(Decision.Send send, CallerExchange exchange, CoreDriver driver, ExchangeRegister register) {
+        this.send = send;
+        this.exchange = exchange;
+        this.driver = driver;
+        this.register = register;
+    }
+
+    /**
+     * Starts the attempt.
+     *
+     * @param client the client of the backend server, {@code null} if it is no longer configured
+     */
+    void start(HttpClient client) {
+        if (client == null) {
+            failed(new IllegalStateException("backend server " + send.address() + " is not configured"));
+            return;
+        }
+        subscription = client.request(exchange.method())
+                .uri(exchange.target().forwarded())
+                .send(this::hand)
+                .responseConnection(this::answered)
+                .subscribe(unit -> {}, this::failed, () -> register.removeAttempt(send.attempt()));
+        if (dropped) {
+            subscription.dispose();
+        }
+    }
+
+    /**
+     * Hands the request to a connection if the core still agrees.
+     *
+     * @param request the request
+     * @param outbound the connection
+     * @return completes when the request is written, or fails before its first byte
+     */
+    private Publisher<Void> hand(HttpClientRequest request, NettyOutbound outbound) {
+        outbound.withConnection(ready -> connection = ready);
+        driver.handle(new Event.AttemptReady(send.attempt()));
+        if (!proceeding || dropped) {
+            return Mono.error(new IllegalStateException("the attempt was withdrawn"));
+        }
+        exchange.fillHeaders(request, send);
+        return exchange.sendBody(outbound);
+    }
+
+    /**
+     * Tells the core the header of the answer.
+     *
+     * @param head the header of the answer
+     * @param answering the connection
+     * @return completes when the connection is no longer of interest
+     */
+    private Publisher<Void> answered(HttpClientResponse head, Connection answering) {
+        response = head;
+        connection = answering;
+        HttpHeaders headers = head.responseHeaders();
+        if (!lengthKnown(head)) {
+            return broken("answer states no length, so that its end cannot be told from a cut");
+        }
+        String signal = headers.get(exchange.refusalHeader());
+        Event.AnswerHead answer = new Event.AnswerHead(
+                head.status().code(),
+                exchange.refusalSignal().matches(head.status().code(), signal),
+                headers.contains(HeaderNames.SERVER_LEAVING),
+                LoadReportField.read(headers.get(HeaderNames.LOAD_REPORT)).orElse(null));
+        driver.handle(new Event.AnswerStarted(send.attempt(), answer));
+        return consumed.asMono();
+    }
+
+    /**
+     * Reports an unusable answer.
+     *
+     * @param reason what is wrong
+     * @return completes at once
+     */
+    private Mono<Void> broken(String reason) {
+        closeConnection();
+        if (ended.compareAndSet(false, true)) {
+            driver.handle(new Event.AttemptBroken(send.attempt(), reason));
+        }
+        return Mono.empty();
+    }
+
+    /**
+     * Returns whether the end of an answer can be told from a cut.
+     *
+     * @param head the header of the answer
+     * @return {@code true} if the answer has no body or states its length or is chunked
+     */
+    private boolean lengthKnown(HttpClientResponse head) {
+        return bodyless()
+                || head.responseHeaders().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || head.responseHeaders().contains(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
+    /**
+     * Returns whether the answer has no body by definition.
+     *
+     * @return {@code true} for answers to {@code HEAD} and with status 204 or 304
+     */
+    boolean bodyless() {
+        HttpResponseStatus status = response.status();
+        return exchange.head()
+                || status.equals(HttpResponseStatus.NO_CONTENT)
+                || status.equals(HttpResponseStatus.NOT_MODIFIED);
+    }
+
+    /**
+     * Returns the header of the answer.
+     *
+     * @return the header
+     */
+    HttpClientResponse response() {
+        return response;
+    }
+
+    /**
+     * Returns the body of the answer; its end is told to the core.
+     *
+     * @return the buffers, each to be released by the subscriber
+     */
+    Flux<ByteBuf> body() {
+        return connection
+                .inbound()
+                .receive()
+                .retain()
+                .doOnComplete(this::completed)
+                .doOnError(this::failed)
+                .doOnCancel(this::drop);
+    }
+
+    /**
+     * Tells the core that the answer is whole.
+     */
+    private void completed() {
+        if (ended.compareAndSet(false, true)) {
+            driver.handle(new Event.AnswerCompleted(send.attempt()));
+        }
+        consumed.tryEmitEmpty();
+    }
+
+    /**
+     * Tells the core that the attempt failed.
+     *
+     * @param cause what happened
+     */
+    private void failed(Throwable cause) {
+        register.removeAttempt(send.attempt());
+        consumed.tryEmitEmpty();
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        String reason = cause.getClass().getSimpleName() + ": " + cause.getMessage();
+        if (proceeding) {
+            driver.handle(new Event.AttemptBroken(send.attempt(), reason));
+        } else {
+            driver.handle(new Event.AttemptUnsent(send.attempt(), reason));
+        }
+    }
+
+    /**
+     * Allows the request to be handed to the connection.
+     */
+    void proceed() {
+        proceeding = true;
+    }
+
+    /**
+     * Ends an attempt that sent nothing.
+     */
+    void withdraw() {
+        ended.set(true);
+        register.removeAttempt(send.attempt());
+    }
+
+    /**
+     * Abandons the attempt and closes its connection.
+     */
+    void drop() {
+        ended.set(true);
+        dropped = true;
+        register.removeAttempt(send.attempt());
+        closeConnection();
+        consumed.tryEmitEmpty();
+        Disposable open = subscription;
+        if (open != null) {
+            open.dispose();
+        }
+    }
+
+    /**
+     * Closes the connection so that nothing uses it again.
+     */
+    private void closeConnection() {
+        Connection open = connection;
+        if (open != null) {
+            open.channel().close();
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -0,0 +1,285 @@
+package org.chivecourse.transport.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.protocol.http.HeaderNames;
+import org.chivecourse.protocol.http.ProblemDocument;
+import org.chivecourse.protocol.http.RequestTarget;
+import org.chivecourse.transport.driver.CoreDriver;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.NettyOutbound;
+import reactor.netty.http.client.HttpClientRequest;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** The exchange of one request and one answer with a caller. */
+final class CallerExchange {
+
+    /** The identifier of the call. */
+    private final long call;
+
+    /** The request as the gateway understands it. */
+    private final CallerRequest request;
+
+    /** The answer to the caller. */
+    private final HttpServerResponse response;
+
+    /** The driver of the decision core. */
+    private final CoreDriver driver;
+
+    /** The register that holds this exchange. */
+    private final ExchangeRegister register;
+
+    /** Whether the gateway asks callers to close their connections. */
+    private final BooleanSupplier stopping;
+
+    /** Receives what writes the answer. */
+    private final Sinks.One<Mono<Void>> answer = Sinks.one();
+
+    /** Whether the answer was decided. */
+    private final AtomicBoolean decided = new AtomicBoolean();
+
+    /** Whether the exchange ended. */
+    private final AtomicBoolean ended = new AtomicBoolean();
+
+    /**
+     * Creates an exchange.
+     *
+     * @param call the identifier of the call
+     * @param request the request as the gateway understands it
+     * @param response the answer to the caller
+     * @param driver the driver of the decision core
+     * @param register the register that holds this exchange
+     * @param stopping whether the gateway asks callers to close their connections
+     */
+    CallerExchange(
+            long call,
+            CallerRequest request,
+            HttpServerResponse response,
+            CoreDriver driver,
+            ExchangeRegister register,
+            BooleanSupplier stopping) {
+        this.call = call;
+        this.request = request;
+        this.response = response;
+        this.driver = driver;
+        this.register = register;
+        this.stopping = stopping;
+    }
+
+    /**
+     * Serves the request.
+     *
+     * @return completes when the caller has its answer
+     */
+    Mono<Void> serve() {
+        register.add(this);
+        driver.handle(new Event.CallArrived(call, request.arrival()));
+        return answer.asMono().flatMap(writing -> writing).doFinally(signal -> end());
+    }
+
+    /**
+     * Ends the exchange and tells the core in case it has not decided an answer.
+     */
+    private void end() {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        register.removeExchange(call);
+        driver.handle(new Event.CallerLeft(call));
+    }
+
+    /**
+     * Returns the identifier of the call.
+     *
+     * @return the identifier
+     */
+    long call() {
+        return call;
+    }
+
+    /**
+     * Returns the method of the request.
+     *
+     * @return the method
+     */
+    HttpMethod method() {
+        return request.request().method();
+    }
+
+    /**
+     * Returns whether the request asks for the header only.
+     *
+     * @return {@code true} for {@code HEAD}
+     */
+    boolean head() {
+        return method().equals(HttpMethod.HEAD);
+    }
+
+    /**
+     * Returns the target of the request.
+     *
+     * @return the target
+     */
+    RequestTarget target() {
+        return request.target();
+    }
+
+    /**
+     * Returns the signal by which backend servers refuse the request.
+     *
+     * @return the signal
+     */
+    RefusalSignal refusalSignal() {
+        return request.refusal();
+    }
+
+    /**
+     * Returns the header field of the refusal signal.
+     *
+     * @return the name of the header field
+     */
+    String refusalHeader() {
+        return request.refusal().header();
+    }
+
+    /**
+     * Fills the header of a request to a backend server.
+     *
+     * @param out the request to the backend server
+     * @param send the attempt
+     */
+    void fillHeaders(HttpClientRequest out, Decision.Send send) {
+        HttpHeaders headers = out.requestHeaders();
+        HttpServerRequest in = request.request();
+        for (Map.Entry<String, String> header : in.requestHeaders()) {
+            if (request.passedOn(header.getKey())) {
+                headers.add(header.getKey(), header.getValue());
+            }
+        }
+        if (request.chunked()) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
+        }
+        long remaining = TimeUnit.NANOSECONDS.toMillis(send.deadline() - System.nanoTime());
+        headers.set(HeaderNames.DEADLINE, Math.max(1, remaining));
+        headers.set(HeaderNames.DEPTH, request.arrival().depth() + 1);
+        headers.set(HeaderNames.ATTEMPT, send.number());
+        headers.set("X-Forwarded-For", request.forwardedFor());
+        headers.set("X-Forwarded-Proto", in.scheme());
+    }
+
+    /**
+     * Sends the body of the request to a backend server.
+     *
+     * @param outbound the connection
+     * @return completes when the request is written
+     */
+    Publisher<Void> sendBody(NettyOutbound outbound) {
+        if (request.held() == null) {
+            return outbound.send(request.streamedBody());
+        }
+        if (request.held().length == 0) {
+            return outbound;
+        }
+        return outbound.sendObject(Unpooled.wrappedBuffer(request.held()));
+    }
+
+    /**
+     * Passes the answer of an attempt to the caller.
+     *
+     * @param attempt the attempt
+     */
+    void deliver(BackendAttempt attempt) {
+        if (!decided.compareAndSet(false, true)) {
+            attempt.drop();
+            return;
+        }
+        if (ended.get()) {
+            attempt.drop();
+            return;
+        }
+        answer.tryEmitValue(Mono.defer(() -> writeAnswer(attempt)));
+    }
+
+    /**
+     * Writes the answer of an attempt.
+     *
+     * @param attempt the attempt
+     * @return completes when the caller has its answer
+     */
+    private Mono<Void> writeAnswer(BackendAttempt attempt) {
+        response.status(attempt.response().status());
+        HttpHeaders headers = response.responseHeaders();
+        for (Map.Entry<String, String> header : attempt.response().responseHeaders()) {
+            if (!HeaderNames.hopByHop(header.getKey())) {
+                headers.add(header.getKey(), header.getValue());
+            }
+        }
+        closeIfStopping();
+        Flux<ByteBuf> body = attempt.body();
+        if (attempt.bodyless()) {
+            return body.doOnNext(ByteBuf::release).then(Mono.defer(() -> Mono.from(response.send())));
+        }
+        return response.send(body, buffer -> true).then();
+    }
+
+    /**
+     * Answers the caller in the gateway's own name.
+     *
+     * @param refusal what to tell
+     */
+    void refuse(Decision.Refusal refusal) {
+        if (!decided.compareAndSet(false, true)) {
+            return;
+        }
+        answer.tryEmitValue(Mono.defer(() -> {
+            closeIfStopping();
+            return writeRefusal(response, refusal, head());
+        }));
+    }
+
+    /**
+     * Writes an answer in the gateway's own name.
+     *
+     * @param response the answer to the caller
+     * @param refusal what to tell
+     * @param head whether the request asks for the header only
+     * @return completes when the caller has its answer
+     */
+    static Mono<Void> writeRefusal(HttpServerResponse response, Decision.Refusal refusal, boolean head) {
+        byte[] document = ProblemDocument.print(refusal);
+        response.status(refusal.reason().status());
+        response.header(HttpHeaderNames.CONTENT_TYPE, ProblemDocument.MEDIA_TYPE);
+        response.header(HeaderNames.OUTCOME, MappingReader.nameOf(refusal.outcome()));
+        response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(document.length));
+        if (refusal.retryAfterSeconds() > 0) {
+            response.header(HeaderNames.RETRY_AFTER, Integer.toString(refusal.retryAfterSeconds()));
+        }
+        return head
+                ? response.send().then()
+                : response.sendObject(Unpooled.wrappedBuffer(document)).then();
+    }
+
+    /**
+     * Asks the caller to close its connection while the gateway stops.
+     */
+    private void closeIfStopping() {
+        if (stopping.getAsBoolean()) {
+            response.keepAlive(false);
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -0,0 +1,195 @@
+package org.chivecourse.transport.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.ssl.SslContext;
+import java.net.InetSocketAddress;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.Outcome;
+import org.chivecourse.coordination.decision.Reason;
+import org.chivecourse.protocol.http.BadRequestException;
+import org.chivecourse.transport.driver.CoreDriver;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Listens for callers and leads each request through an exchange. */
+public final class CallerListener {
+
+    /** The address to listen on. */
+    private final InetSocketAddress address;
+
+    /** The bounds on connections. */
+    private final HttpSettings settings;
+
+    /** Returns the TLS context for callers, or {@code null} for plain connections. */
+    private final Supplier<SslContext> tls;
+
+    /** The driver of the decision core. */
+    private final CoreDriver driver;
+
+    /** The register of exchanges. */
+    private final ExchangeRegister register;
+
+    /** The listening server, {@code null} before the start. */
+    private DisposableServer server;
+
+    /** Whether callers are asked to close their connections. */
+    private volatile boolean stopping;
+
+    /** The refusal signals of the configuration in force. */
+    private volatile CallerRequest.RefusalSignals refusals = path -> RefusalSignal.NONE;
+
+    /**
+     * Creates a listener that is not started.
+     *
+     * @param address the address to listen on
+     * @param settings the bounds on connections
+     * @param tls returns the TLS context for callers, or {@code null} for plain connections
+     * @param driver the driver of the decision core
+     * @param register the register of exchanges
+     */
+    public CallerListener(
+            InetSocketAddress address,
+            HttpSettings settings,
+            Supplier<SslContext> tls,
+            CoreDriver driver,
+            ExchangeRegister register) {
+        this.address = address;
+        this.settings = settings;
+        this.tls = tls;
+        this.driver = driver;
+        this.register = register;
+    }
+
+    /**
+     * Starts to listen.
+     */
+    public void start() {
+        HttpServer builder = HttpServer.create()
+                .bindAddress(() -> address)
+                .idleTimeout(settings.idleTimeout())
+                .readTimeout(settings.readTimeout())
+                .httpRequestDecoder(spec -> spec.maxHeaderSize(settings.largestHeaderBytes())
+                        .maxInitialLineLength(settings.largestHeaderBytes())
+                        .allowDuplicateContentLengths(false))
+                .handle(this::serve);
+        SslContext context = tls.get();
+        server = (context == null ? builder : builder.secure(spec -> spec.sslContext(context))).bindNow();
+    }
+
+    /**
+     * Puts the refusal signals of a configuration in force.
+     *
+     * @param signals returns the refusal signal of the service that a path leads to
+     */
+    public void refusals(Function<String, RefusalSignal> signals) {
+        refusals = signals::apply;
+    }
+
+    /**
+     * Returns the port that the listener is bound to.
+     *
+     * @return the port
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /**
+     * Asks callers from now on to close their connections after their answers.
+     */
+    public void announceStop() {
+        stopping = true;
+    }
+
+    /**
+     * Stops listening; open connections stay until their exchanges end.
+     */
+    public void stop() {
+        server.dispose();
+    }
+
+    /**
+     * Serves a request.
+     *
+     * @param request the request
+     * @param response the answer
+     * @return completes when the caller has its answer
+     */
+    private Publisher<Void> serve(HttpServerRequest request, HttpServerResponse response) {
+        Method method = method(request.method().name());
+        if (method == null) {
+            return refuse(response, Reason.METHOD_UNSUPPORTED);
+        }
+        HttpHeaders headers = request.requestHeaders();
+        boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+        String length = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+        if (chunked && length != null) {
+            return refuse(response, Reason.BAD_REQUEST);
+        }
+        long size = length == null ? 0 : Long.parseLong(length);
+        if (size > settings.largestBodyBytes()) {
+            return refuse(response, Reason.BODY_TOO_LARGE);
+        }
+        if (chunked || size > settings.replayBytes()) {
+            return exchange(request, response, method, null);
+        }
+        if (size == 0) {
+            return exchange(request, response, method, new byte[0]);
+        }
+        return request.receive().aggregate().asByteArray().flatMap(body -> exchange(request, response, method, body));
+    }
+
+    /**
+     * Leads a request through an exchange.
+     *
+     * @param request the request
+     * @param response the answer
+     * @param method the method
+     * @param body the body if it can be sent again, {@code null} if it is streamed
+     * @return completes when the caller has its answer
+     */
+    private Mono<Void> exchange(HttpServerRequest request, HttpServerResponse response, Method method, byte[] body) {
+        try {
+            CallerRequest read = CallerRequest.read(request, method, refusals, body, settings.largestBodyBytes());
+            return new CallerExchange(driver.nextCall(), read, response, driver, register, () -> stopping).serve();
+        } catch (BadRequestException exception) {
+            return refuse(response, Reason.BAD_REQUEST);
+        }
+    }
+
+    /**
+     * Refuses a request that does not become a call.
+     *
+     * @param response the answer
+     * @param reason why
+     * @return completes when the caller has its answer
+     */
+    private static Mono<Void> refuse(HttpServerResponse response, Reason reason) {
+        response.keepAlive(false);
+        return CallerExchange.writeRefusal(response, new Decision.Refusal(Outcome.NOT_RUN, reason, 0), false);
+    }
+
+    /**
+     * Returns a method.
+     *
+     * @param name the name of the method
+     * @return the method, or {@code null} if it is not supported
+     */
+    private static Method method(String name) {
+        for (Method method : Method.values()) {
+            if (method.name().equals(name)) {
+                return method;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
@@ -0,0 +1,192 @@
+package org.chivecourse.transport.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.protocol.http.BadRequestException;
+import org.chivecourse.protocol.http.Fingerprint;
+import org.chivecourse.protocol.http.HeaderNames;
+import org.chivecourse.protocol.http.RequestTarget;
+import reactor.core.publisher.Flux;
+import reactor.netty.http.server.HttpServerRequest;
+
+/**
+ * A caller's request as the gateway understands it.
+ *
+ * @param request the request
+ * @param target the target
+ * @param arrival what the core is told
+ * @param refusal the signal by which backend servers refuse the request
+ * @param held the body if it can be sent again, empty if there is none, {@code null} if it is streamed
+ * @param chunked whether the streamed body states no length
+ * @param connectionFields the header fields that concern the caller's connection only, in lower case
+ * @param largestBodyBytes the largest size of a streamed body
+ */
+record CallerRequest(
+        HttpServerRequest request,
+        RequestTarget target,
+        Arrival arrival,
+        RefusalSignal refusal,
+        byte[] held,
+        boolean chunked,
+        Set<String> connectionFields,
+        long largestBodyBytes) {
+
+    /** The largest number of gateways that a call may pass. */
+    private static final int LARGEST_DEPTH = 64;
+
+    /** The longest idempotency key in characters. */
+    private static final int LONGEST_KEY = 255;
+
+    /** The longest deadline that a caller may ask for, in milliseconds. */
+    private static final long LONGEST_DEADLINE_MILLISECONDS = TimeUnit.DAYS.toMillis(1);
+
+    /**
+     * Reads a request.
+     *
+     * @param request the request
+     * @param method the method
+     * @param refusal returns the refusal signal of the service that a path leads to
+     * @param held the body if it can be sent again, {@code null} if it is streamed
+     * @param largestBodyBytes the largest size of a streamed body
+     * @return the request as the gateway understands it
+     * @throws BadRequestException if the request is malformed
+     */
+    static CallerRequest read(
+            HttpServerRequest request, Method method, RefusalSignals refusal, byte[] held, long largestBodyBytes)
+            throws BadRequestException {
+        RequestTarget target = RequestTarget.read(request.uri());
+        HttpHeaders headers = request.requestHeaders();
+        String key = headers.get(HeaderNames.IDEMPOTENCY_KEY, "");
+        if (key.length() > LONGEST_KEY
+                || headers.getAll(HeaderNames.IDEMPOTENCY_KEY).size() > 1) {
+            throw new BadRequestException("the request holds several idempotency keys or one that is too long");
+        }
+        long deadline = number(headers, HeaderNames.DEADLINE, LONGEST_DEADLINE_MILLISECONDS);
+        int depth = (int) number(headers, HeaderNames.DEPTH, LARGEST_DEPTH);
+        Arrival arrival = new Arrival(
+                method,
+                target.path(),
+                TimeUnit.MILLISECONDS.toNanos(deadline),
+                depth,
+                held != null,
+                key,
+                Fingerprint.of(method, target.forwarded(), key, held));
+        boolean chunked = held == null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+        return new CallerRequest(
+                request,
+                target,
+                arrival,
+                refusal.of(target.path()),
+                held,
+                chunked,
+                connectionFields(headers),
+                largestBodyBytes);
+    }
+
+    /**
+     * Returns the number in a header field.
+     *
+     * @param headers the header of the request
+     * @param name the name of the header field
+     * @param most the largest number allowed
+     * @return the number, zero if the header field is absent
+     * @throws BadRequestException if the value is not a number in the range
+     */
+    private static long number(HttpHeaders headers, String name, long most) throws BadRequestException {
+        String value = headers.get(name);
+        if (value == null) {
+            return 0;
+        }
+        try {
+            long number = Long.parseLong(value);
+            if (number >= 0 && number <= most) {
+                return number;
+            }
+        } catch (NumberFormatException exception) {
+            throw new BadRequestException("header field " + name + " has value \"" + value + "\"");
+        }
+        throw new BadRequestException("header field " + name + " has value \"" + value + "\"");
+    }
+
+    /**
+     * Returns the header fields that a request's {@code Connection} field names.
+     *
+     * @param headers the header of the request
+     * @return the names in lower case
+     */
+    private static Set<String> connectionFields(HttpHeaders headers) {
+        List<String> values = headers.getAll(HttpHeaderNames.CONNECTION);
+        if (values.isEmpty()) {
+            return Set.of();
+        }
+        Set<String> names = new HashSet<>();
+        for (String value : values) {
+            for (String name : value.split(",")) {
+                names.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+
+    /**
+     * Returns whether a header field is passed on to backend servers as it is.
+     *
+     * @param name the name of the header field
+     * @return {@code false} for fields of one connection and those that the gateway sets
+     */
+    boolean passedOn(String name) {
+        String lower = name.toLowerCase(Locale.ROOT);
+        return !HeaderNames.hopByHop(lower) && !lower.equals("expect") && !connectionFields.contains(lower);
+    }
+
+    /**
+     * Returns the addresses that the request came through.
+     *
+     * @return the value of the forwarding header field
+     */
+    String forwardedFor() {
+        String before = request.requestHeaders().get("X-Forwarded-For");
+        String caller = request.remoteAddress() == null
+                ? "unknown"
+                : request.remoteAddress().getAddress().getHostAddress();
+        return before == null ? caller : before + ", " + caller;
+    }
+
+    /**
+     * Returns the body of a request that is streamed.
+     *
+     * @return the buffers, or a failure once they are more than a request may have
+     */
+    Flux<ByteBuf> streamedBody() {
+        AtomicLong size = new AtomicLong();
+        return request.receive().retain().doOnNext(buffer -> {
+            if (size.addAndGet(buffer.readableBytes()) > largestBodyBytes) {
+                buffer.release();
+                throw new IllegalStateException("the request's body is larger than " + largestBodyBytes + " bytes");
+            }
+        });
+    }
+
+    /** Returns refusal signals by path. */
+    @FunctionalInterface
+    interface RefusalSignals {
+
+        /**
+         * Returns the refusal signal of the service that a path leads to.
+         *
+         * @param path the path
+         * @return the signal, {@link RefusalSignal#NONE} if no service has the path
+         */
+        RefusalSignal of(String path);
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/package-info.java
@@ -0,0 +1,2 @@
+/** The adapters between HTTP connections and a host's decision core. */
+package org.chivecourse.transport.http;
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/audit/AuditTrail.java
@@ -0,0 +1,102 @@
+package org.chivecourse.gateway.audit;
+
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.coordination.decision.Decision;
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+
+/** Writes each change to the log and keeps the latest in memory. */
+public final class AuditTrail {
+
+    /** The number of changes kept in memory. */
+    private static final int LARGEST_SIZE = 500;
+
+    /** The actor of changes that the gateway decides. */
+    private static final String GATEWAY = "gateway";
+
+    /** The log of changes. */
+    private static final Logger LOGGER = Logger.getLogger("org.chivecourse.audit");
+
+    /** The name of the host. */
+    private final String host;
+
+    /** Tells the time. */
+    private final Clock clock;
+
+    /** The latest changes, the newest last. */
+    private final Deque<AuditRecord> latest = new ArrayDeque<>();
+
+    /**
+     * Creates an empty trail.
+     *
+     * @param host the name of the host
+     * @param clock tells the time
+     */
+    public AuditTrail(String host, Clock clock) {
+        this.host = host;
+        this.clock = clock;
+    }
+
+    /**
+     * Records a change that the decision core made.
+     *
+     * @param change the change
+     */
+    public void record(Decision.Change change) {
+        record(new AuditRecord(
+                clock.instant(),
+                host,
+                GATEWAY,
+                MappingReader.nameOf(change.subject()),
+                change.name(),
+                change.from(),
+                change.to(),
+                change.cause(),
+                change.revision()));
+    }
+
+    /**
+     * Records a step of the gateway's own life.
+     *
+     * @param step the step
+     * @param cause why it happened
+     */
+    public void step(String step, String cause) {
+        record(new AuditRecord(clock.instant(), host, GATEWAY, "gateway", host, "", step, cause, 0));
+    }
+
+    /**
+     * Records a change.
+     *
+     * @param change the change
+     */
+    private synchronized void record(AuditRecord change) {
+        if (latest.size() == LARGEST_SIZE) {
+            latest.removeFirst();
+        }
+        latest.addLast(change);
+        MDC.put("host", change.host());
+        MDC.put("actor", change.actor());
+        MDC.put("subject", change.subject());
+        MDC.put("name", change.name());
+        MDC.put("from", change.from());
+        MDC.put("to", change.to());
+        MDC.put("cause", change.cause());
+        MDC.put("revision", Long.toString(change.revision()));
+        LOGGER.infof("%s %s: %s", change.subject(), change.name(), change.to());
+        MDC.clear();
+    }
+
+    /**
+     * Returns the latest changes.
+     *
+     * @return the changes, the newest last
+     */
+    public synchronized List<AuditRecord> latest() {
+        return List.copyOf(latest);
+    }
+}
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/audit/package-info.java
@@ -0,0 +1,2 @@
+/** The trail of changes that operators see. */
+package org.chivecourse.gateway.audit;
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -0,0 +1,275 @@
+package org.chivecourse.gateway.daemon;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.ssl.SslContext;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.host.HostCore;
+import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.gateway.audit.AuditTrail;
+import org.chivecourse.gateway.operator.MetricsPrinter;
+import org.chivecourse.gateway.operator.OperatorListener;
+import org.chivecourse.gateway.operator.StatusPrinter;
+import org.chivecourse.gateway.settings.GatewaySettings;
+import org.chivecourse.gateway.tls.TlsContexts;
+import org.chivecourse.gateway.tls.TlsException;
+import org.chivecourse.protocol.platform.PlatformProtocol;
+import org.chivecourse.transport.driver.CoreDriver;
+import org.chivecourse.transport.http.BackendConnections;
+import org.chivecourse.transport.http.CallerListener;
+import org.chivecourse.transport.http.ExchangeRegister;
+import org.chivecourse.transport.platform.PlatformWatch;
+import org.jboss.logging.Logger;
+
+/** A gateway: takes callers' requests, has the decision core choose backend servers, and passes answers back. */
+public final class Gateway {
+
+    /** The log. */
+    private static final Logger LOGGER = Logger.getLogger(Gateway.class);
+
+    /** The time between two looks at open exchanges during a stop, in milliseconds. */
+    private static final long STOP_POLL_MILLISECONDS = 5;
+
+    /** The settings. */
+    private final GatewaySettings settings;
+
+    /** The driver of the decision core. */
+    private final CoreDriver driver;
+
+    /** The connections to backend servers. */
+    private final BackendConnections connections;
+
+    /** The exchanges with callers. */
+    private final ExchangeRegister exchanges;
+
+    /** The listener for callers. */
+    private final CallerListener callers;
+
+    /** The listener for operators. */
+    private final OperatorListener operators;
+
+    /** The watch of the configuration service. */
+    private final PlatformWatch configurationWatch;
+
+    /** The trail of changes. */
+    private final AuditTrail audit;
+
+    /** What is known of the platform's replicas. */
+    private final PlatformContacts contacts;
+
+    /** Tells the core that time passes. */
+    private final ScheduledExecutorService ticks = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "ticks");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /** The state of the gateway. */
+    private volatile GatewayState state = GatewayState.STARTING;
+
+    /** Whether a stop does not wait for open exchanges. */
+    private volatile boolean hurry;
+
+    /**
+     * Creates a gateway that is not started.
+     *
+     * @param settings the settings
+     * @param random the source of randomness
+     * @param clock tells the time of changes
+     * @throws GatewayException if the TLS files cannot be used
+     */
+    public Gateway(GatewaySettings settings, RandomGenerator random, Clock clock) throws GatewayException {
+        this.settings = settings;
+        SslContext callerTls;
+        SslContext backendTls;
+        try {
+            callerTls = TlsContexts.server(
+                    settings.callers().certificate(), settings.callers().key());
+            backendTls = TlsContexts.client(settings.backendTrust());
+        } catch (TlsException exception) {
+            throw new GatewayException(exception.getMessage(), exception);
+        }
+        audit = new AuditTrail(settings.name(), clock);
+        contacts = new PlatformContacts(clock);
+        HostSettings host =
+                new HostSettings(settings.name(), settings.dataCentre(), settings.choice(), settings.largestCalls());
+        driver = new CoreDriver(new HostCore(host, random));
+        connections = new BackendConnections(settings.expectedHosts(), settings.http(), () -> backendTls);
+        exchanges = new ExchangeRegister(driver, connections);
+        callers =
+                new CallerListener(listening(settings.callers()), settings.http(), () -> callerTls, driver, exchanges);
+        MetricRegistry metrics = new MetricRegistry();
+        metrics.register("calls.open", (Gauge<Integer>) exchanges::open);
+        operators = new OperatorListener(
+                listening(settings.operators()), this::ready, this::status, new MetricsPrinter(metrics));
+        configurationWatch = new PlatformWatch(
+                settings.configurationService(),
+                PlatformProtocol.CONFIGURATION_PATH,
+                new ConfigurationFeed(driver, contacts),
+                random);
+        driver.perform(this::perform);
+    }
+
+    /**
+     * Returns the socket address of an endpoint.
+     *
+     * @param endpoint the endpoint
+     * @return the socket address
+     */
+    private static InetSocketAddress listening(GatewaySettings.Endpoint endpoint) {
+        InetSocketAddress address = BackendConnections.address(endpoint.address());
+        return new InetSocketAddress(address.getHostString(), address.getPort());
+    }
+
+    /**
+     * Starts the gateway; it is ready once a configuration is in force.
+     *
+     * @throws GatewayException if an address cannot be listened on
+     */
+    public void start() throws GatewayException {
+        try {
+            operators.start();
+            callers.start();
+        } catch (RuntimeException exception) {
+            throw new GatewayException("an address cannot be listened on: " + exception.getMessage(), exception);
+        }
+        long tick = HostCore.TICK_NANOSECONDS;
+        ticks.scheduleAtFixedRate(this::tick, tick, tick, TimeUnit.NANOSECONDS);
+        state = GatewayState.RUNNING;
+        audit.step("started", "start");
+        configurationWatch.start();
+    }
+
+    /**
+     * Tells the core that time passed.
+     */
+    private void tick() {
+        try {
+            driver.handle(new Event.TimePassed());
+        } catch (RuntimeException exception) {
+            LOGGER.error("a tick failed", exception);
+        }
+    }
+
+    /**
+     * Carries out a decision.
+     *
+     * @param decision the decision
+     */
+    private void perform(Decision decision) {
+        if (exchanges.perform(decision)) {
+            return;
+        }
+        if (decision instanceof Decision.Apply apply) {
+            Configuration configuration = apply.configuration().configuration();
+            connections.apply(configuration);
+            callers.refusals(
+                    path -> configuration.serviceFor(path).map(Service::refusal).orElse(RefusalSignal.NONE));
+        } else if (decision instanceof Decision.Audit change) {
+            audit.record(change.change());
+        }
+    }
+
+    /**
+     * Returns whether the balancer may send callers here.
+     *
+     * @return {@code true} while the gateway runs and a configuration is in force
+     */
+    public boolean ready() {
+        return state == GatewayState.RUNNING
+                && driver.read(core -> core.configurations().revision()) > 0;
+    }
+
+    /**
+     * Prints the status.
+     *
+     * @return the status as JSON
+     */
+    public String status() {
+        StatusPrinter printer = new StatusPrinter();
+        ObjectNode status = driver.read(
+                core -> printer.status(settings.name(), state.toString(), core, System.nanoTime(), audit.latest()));
+        ObjectNode platform = status.putObject("platform");
+        contacts.all()
+                .forEach((address, contact) -> platform.putObject(address)
+                        .put("last-reached", contact.lastReached().toString())
+                        .put("failure", contact.failure()));
+        return status.toPrettyString();
+    }
+
+    /**
+     * Returns the port that callers connect to.
+     *
+     * @return the port
+     */
+    public int callerPort() {
+        return callers.port();
+    }
+
+    /**
+     * Returns the port that operators connect to.
+     *
+     * @return the port
+     */
+    public int operatorPort() {
+        return operators.port();
+    }
+
+    /**
+     * Ends a stop at once instead of waiting for open exchanges.
+     */
+    public void hurry() {
+        hurry = true;
+    }
+
+    /**
+     * Stops the gateway: withdraws readiness, lingers, stops listening, waits for open exchanges and closes.
+     *
+     * @return the number of exchanges that were cut
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public int stop() throws InterruptedException {
+        long start = System.nanoTime();
+        state = GatewayState.STOPPING;
+        audit.step("stopping", "stop was asked for");
+        callers.announceStop();
+        waitUntil(start + settings.drain().linger().toNanos(), false);
+        callers.stop();
+        waitUntil(start + settings.drain().deadline().toNanos(), true);
+        int cut = exchanges.open();
+        configurationWatch.stop();
+        ticks.shutdownNow();
+        operators.stop();
+        connections.close();
+        state = GatewayState.STOPPED;
+        audit.step("stopped", cut + " exchanges were cut");
+        return cut;
+    }
+
+    /**
+     * Waits until a time, until a hurry, or until no exchange is open.
+     *
+     * @param end the time in nanoseconds
+     * @param untilEmpty whether to end once no exchange is open
+     * @throws InterruptedException if the thread is interrupted
+     */
+    private void waitUntil(long end, boolean untilEmpty) throws InterruptedException {
+        while (System.nanoTime() - end < 0 && !hurry) {
+            if (untilEmpty && exchanges.open() == 0) {
+                return;
+            }
+            Thread.sleep(STOP_POLL_MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/package-info.java
@@ -0,0 +1,2 @@
+/** The set-up of logs as JSON lines. */
+package org.chivecourse.gateway.log;
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/OperatorListener.java
@@ -0,0 +1,122 @@
+package org.chivecourse.gateway.operator;
+
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Listens for operators, scrapers of metrics and the platform's balancer. */
+public final class OperatorListener {
+
+    /** The address to listen on. */
+    private final InetSocketAddress address;
+
+    /** Whether the balancer may send callers here. */
+    private final BooleanSupplier ready;
+
+    /** Prints the status as JSON. */
+    private final Supplier<String> status;
+
+    /** Prints the metrics. */
+    private final MetricsPrinter metrics;
+
+    /** The listening server, {@code null} before the start. */
+    private DisposableServer server;
+
+    /**
+     * Creates a listener that is not started.
+     *
+     * @param address the address to listen on
+     * @param ready whether the balancer may send callers here
+     * @param status prints the status as JSON
+     * @param metrics prints the metrics
+     */
+    public OperatorListener(
+            InetSocketAddress address, BooleanSupplier ready, Supplier<String> status, MetricsPrinter metrics) {
+        this.address = address;
+        this.ready = ready;
+        this.status = status;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Starts to listen.
+     */
+    public void start() {
+        server = HttpServer.create()
+                .bindAddress(() -> address)
+                .route(routes -> routes.get("/health", (request, response) -> text(response, () -> "alive\n"))
+                        .get("/ready", (request, response) -> readiness(response))
+                        .get("/status", (request, response) -> json(response, status))
+                        .get("/metrics.json", (request, response) -> json(response, metrics::json))
+                        .get("/metrics", (request, response) -> text(response, metrics::text)))
+                .bindNow();
+    }
+
+    /**
+     * Returns the port that the listener is bound to.
+     *
+     * @return the port
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /**
+     * Stops listening.
+     */
+    public void stop() {
+        server.disposeNow();
+    }
+
+    /**
+     * Answers whether the balancer may send callers here.
+     *
+     * @param response the answer
+     * @return completes when the answer is written
+     */
+    private Publisher<Void> readiness(HttpServerResponse response) {
+        boolean now = ready.getAsBoolean();
+        return text(response.status(now ? 200 : 503), () -> now ? "ready\n" : "not ready\n");
+    }
+
+    /**
+     * Answers with a text.
+     *
+     * @param response the answer
+     * @param content makes the text
+     * @return completes when the answer is written
+     */
+    private static Publisher<Void> text(HttpServerResponse response, Supplier<String> content) {
+        return write(response, "text/plain; charset=utf-8", content);
+    }
+
+    /**
+     * Answers with a JSON document.
+     *
+     * @param response the answer
+     * @param content makes the document
+     * @return completes when the answer is written
+     */
+    private static Publisher<Void> json(HttpServerResponse response, Supplier<String> content) {
+        return write(response, "application/json", content);
+    }
+
+    /**
+     * Answers with content that is made off the event loop.
+     *
+     * @param response the answer
+     * @param type the media type
+     * @param content makes the content
+     * @return completes when the answer is written
+     */
+    private static Publisher<Void> write(HttpServerResponse response, String type, Supplier<String> content) {
+        Mono<String> made = Mono.fromSupplier(content).subscribeOn(Schedulers.boundedElastic());
+        return response.header("Content-Type", type).sendString(made);
+    }
+}
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/package-info.java
@@ -0,0 +1,2 @@
+/** What operators and the platform's balancer see of a gateway. */
+package org.chivecourse.gateway.operator;
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
@@ -0,0 +1,62 @@
+package org.chivecourse.gateway.settings;
+
+import java.time.Duration;
+import java.util.List;
+import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.transport.http.HttpSettings;
+
+/**
+ * The settings of a gateway.
+ *
+ * @param name the name of the host
+ * @param dataCentre the name of the data centre that the host stands in
+ * @param callers where callers connect to
+ * @param operators where operators and the platform's balancer connect to
+ * @param configurationService the addresses of the configuration service's replicas
+ * @param hostList the addresses of the host list's replicas
+ * @param expectedHosts the largest number of hosts that may run gateways at the same time
+ * @param choice the way to choose a backend server
+ * @param http the bounds on connections
+ * @param largestCalls the number of calls that the gateway holds at the same time
+ * @param drain the times of a stop
+ * @param backendTrust the file with the certificates that backend servers are trusted by, empty for plain connections
+ */
+public record GatewaySettings(
+        String name,
+        String dataCentre,
+        Endpoint callers,
+        Endpoint operators,
+        List<String> configurationService,
+        List<String> hostList,
+        int expectedHosts,
+        ChoicePolicy choice,
+        HttpSettings http,
+        int largestCalls,
+        Drain drain,
+        String backendTrust) {
+
+    /**
+     * Creates settings whose lists are copied.
+     */
+    public GatewaySettings {
+        configurationService = List.copyOf(configurationService);
+        hostList = List.copyOf(hostList);
+    }
+
+    /**
+     * An address to listen on.
+     *
+     * @param address the host name or IP number and the port, zero for any port
+     * @param certificate the file with the certificate chain, empty for plain connections
+     * @param key the file with the private key, empty for plain connections
+     */
+    public record Endpoint(String address, String certificate, String key) {}
+
+    /**
+     * The times of a stop.
+     *
+     * @param linger the time between the withdrawal of readiness and the end of listening
+     * @param deadline the time after which open exchanges are cut
+     */
+    public record Drain(Duration linger, Duration deadline) {}
+}
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -0,0 +1,204 @@
+package org.chivecourse.gateway.settings;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.chivecourse.configuration.document.Document;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.rule.Address;
+import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.gateway.settings.GatewaySettings.Drain;
+import org.chivecourse.gateway.settings.GatewaySettings.Endpoint;
+import org.chivecourse.transport.http.HttpSettings;
+
+/** Reads and checks the settings of a gateway. */
+public final class GatewaySettingsReader {
+
+    /** The longest time in milliseconds that a setting takes. */
+    private static final long LONGEST_MILLISECONDS = 3_600_000;
+
+    /** The largest number of hosts. */
+    private static final int LARGEST_HOSTS = 1000;
+
+    /** The largest number of calls at the same time. */
+    private static final int LARGEST_CALLS = 1_000_000;
+
+    /** The largest size of a body that is held, in bytes. */
+    private static final int LARGEST_REPLAY_BYTES = 1024 * 1024;
+
+    /** The smallest and largest size of a header, in bytes. */
+    private static final int SMALLEST_HEADER_BYTES = 1024;
+
+    /** The largest size of a header, in bytes. */
+    private static final int LARGEST_HEADER_BYTES = 1024 * 1024;
+
+    /** Not to be constructed. */
+    private GatewaySettingsReader() {}
+
+    /**
+     * Reads settings from a file.
+     *
+     * @param path the file
+     * @return the settings
+     * @throws DocumentException if the file cannot be read or a value is not allowed
+     */
+    public static GatewaySettings read(Path path) throws DocumentException {
+        return read(Document.read(path).root());
+    }
+
+    /**
+     * Reads settings from a text.
+     *
+     * @param source the name of the text in errors
+     * @param text the text
+     * @return the settings
+     * @throws DocumentException if a value is not allowed
+     */
+    public static GatewaySettings read(String source, String text) throws DocumentException {
+        return read(Document.parse(source, text).root());
+    }
+
+    /**
+     * Reads the root.
+     *
+     * @param reader the reader of the root
+     * @return the settings
+     * @throws DocumentException if a value is not allowed
+     */
+    private static GatewaySettings read(MappingReader reader) throws DocumentException {
+        GatewaySettings settings = new GatewaySettings(
+                reader.text("name"),
+                reader.text("data-centre"),
+                endpoint(reader.mapping("callers")),
+                endpoint(reader.mapping("operators")),
+                addresses(reader, "configuration-service"),
+                addresses(reader, "host-list"),
+                (int) reader.integer("expected-hosts", 1, LARGEST_HOSTS),
+                reader.choice("choice", ChoicePolicy.class, ChoicePolicy.POWER_OF_TWO),
+                reader.has("http") ? http(reader.mapping("http")) : HttpSettings.DEFAULT,
+                (int) reader.integer("largest-calls", 1, LARGEST_CALLS, 10_000),
+                drain(reader.mapping("drain")),
+                file(reader, "backend-trust"));
+        String callers = settings.callers().address();
+        if (callers.equals(settings.operators().address()) && !callers.endsWith(":0")) {
+            throw reader.refuse("operators", "an address other than that of callers, \"" + callers + "\"");
+        }
+        reader.finish();
+        return settings;
+    }
+
+    /**
+     * Reads an address to listen on.
+     *
+     * @param reader the reader of the endpoint
+     * @return the endpoint
+     * @throws DocumentException if a value is not allowed
+     */
+    private static Endpoint endpoint(MappingReader reader) throws DocumentException {
+        String address = reader.text("address");
+        boolean anyPort = address.endsWith(":0") && Address.valid(address.substring(0, address.length() - 1) + "1");
+        if (!anyPort && !Address.valid(address)) {
+            throw reader.refuse("address", Address.ALLOWED + ", or port 0 for any free port");
+        }
+        String certificate = file(reader, "certificate");
+        String key = file(reader, "key");
+        if (certificate.isEmpty() != key.isEmpty()) {
+            String given = certificate.isEmpty() ? "key" : "certificate";
+            throw reader.refuse(given, "a certificate and a key together, or neither");
+        }
+        reader.finish();
+        return new Endpoint(address, certificate, key);
+    }
+
+    /**
+     * Reads the name of a file that exists.
+     *
+     * @param reader the reader
+     * @param key the key
+     * @return the name, empty if the key is missing
+     * @throws DocumentException if there is no such file
+     */
+    private static String file(MappingReader reader, String key) throws DocumentException {
+        String name = reader.text(key, "");
+        if (!name.isEmpty() && !Files.isReadable(Path.of(name))) {
+            throw reader.refuse(key, "a file that can be read");
+        }
+        return name;
+    }
+
+    /**
+     * Reads a list of addresses.
+     *
+     * @param reader the reader
+     * @param key the key
+     * @return the addresses
+     * @throws DocumentException if the list is empty or holds something else
+     */
+    private static List<String> addresses(MappingReader reader, String key) throws DocumentException {
+        List<String> addresses = reader.texts(key);
+        if (addresses.isEmpty()) {
+            throw reader.refuse(key, "at least one address");
+        }
+        for (String address : addresses) {
+            if (!Address.valid(address)) {
+                throw reader.refuse(
+                        key, "a list of which each item is " + Address.ALLOWED + ", not \"" + address + "\"");
+            }
+        }
+        return addresses;
+    }
+
+    /**
+     * Reads the bounds on connections.
+     *
+     * @param reader the reader of the bounds
+     * @return the bounds
+     * @throws DocumentException if a value is not allowed
+     */
+    private static HttpSettings http(MappingReader reader) throws DocumentException {
+        HttpSettings defaults = HttpSettings.DEFAULT;
+        int header = defaults.largestHeaderBytes();
+        HttpSettings settings = new HttpSettings(
+                (int) reader.integer("largest-header-bytes", SMALLEST_HEADER_BYTES, LARGEST_HEADER_BYTES, header),
+                reader.integer("largest-body-bytes", 0, Long.MAX_VALUE, defaults.largestBodyBytes()),
+                (int) reader.integer("replay-bytes", 0, LARGEST_REPLAY_BYTES, defaults.replayBytes()),
+                milliseconds(reader, "read-timeout-milliseconds", defaults.readTimeout()),
+                milliseconds(reader, "idle-timeout-milliseconds", defaults.idleTimeout()),
+                milliseconds(reader, "connect-timeout-milliseconds", defaults.connectTimeout()),
+                milliseconds(reader, "stall-timeout-milliseconds", defaults.stallTimeout()));
+        reader.finish();
+        return settings;
+    }
+
+    /**
+     * Reads the times of a stop.
+     *
+     * @param reader the reader of the times
+     * @return the times
+     * @throws DocumentException if a value is not allowed
+     */
+    private static Drain drain(MappingReader reader) throws DocumentException {
+        long linger = reader.integer("linger-milliseconds", 0, LONGEST_MILLISECONDS);
+        long deadline = reader.integer("deadline-milliseconds", 1, LONGEST_MILLISECONDS);
+        if (deadline <= linger) {
+            throw reader.refuse("deadline-milliseconds", "more than linger-milliseconds, " + linger);
+        }
+        reader.finish();
+        return new Drain(Duration.ofMillis(linger), Duration.ofMillis(deadline));
+    }
+
+    /**
+     * Reads a time in milliseconds.
+     *
+     * @param reader the reader
+     * @param key the key
+     * @param missing the time for a missing key
+     * @return the time
+     * @throws DocumentException if the value is not allowed
+     */
+    private static Duration milliseconds(MappingReader reader, String key, Duration missing) throws DocumentException {
+        return Duration.ofMillis(reader.integer(key, 1, LONGEST_MILLISECONDS, missing.toMillis()));
+    }
+}
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of a gateway, read from YAML and checked. */
+package org.chivecourse.gateway.settings;
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/tls/package-info.java
@@ -0,0 +1,2 @@
+/** The TLS contexts of a gateway. */
+package org.chivecourse.gateway.tls;
--- /dev/null
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/BackendServerStandIn.java
@@ -0,0 +1,312 @@
+package org.chivecourse.standin.backend;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import org.chivecourse.protocol.http.HeaderNames;
+import org.chivecourse.protocol.http.LoadReportField;
+import org.chivecourse.state.server.LoadReport;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * A stand-in of a backend server.
+ *
+ * <p>It runs each request in a slot, states its load on answers, and answers with the identifier of the request. A
+ * query of {@code bytes=N} asks for an answer of that size, and a path that ends with {@code /echo} for the request's
+ * own body.
+ */
+public final class BackendServerStandIn {
+
+    /** The header field that identifies a request. */
+    public static final String REQUEST_ID = "Request-Id";
+
+    /** The header field that identifies the server of an answer. */
+    public static final String ANSWERED_BY = "Answered-By";
+
+    /** The header field of the refusal signal. */
+    public static final String REFUSED = "Refused";
+
+    /** The value of the refusal signal. */
+    public static final String REFUSED_VALUE = "before-running";
+
+    /** The status of the refusal signal. */
+    public static final int REFUSED_STATUS = 503;
+
+    /** The path below which the fault is set, by {@code POST}. */
+    public static final String FAULT_PATH = "/stand-in/fault/";
+
+    /** The path of the records of runs. */
+    public static final String RUNS_PATH = "/stand-in/runs";
+
+    /** The size of an answer of which nothing else is asked, in bytes. */
+    private static final int USUAL_BYTES = 200;
+
+    /** The size of the parts of large answers, in bytes. */
+    private static final int PART_BYTES = 16 * 1024;
+
+    /** The address to listen on. */
+    private final InetSocketAddress address;
+
+    /** How the stand-in works. */
+    private final BackendProfile profile;
+
+    /** The slots. */
+    private final SlotQueue slots;
+
+    /** The records of runs. */
+    private final RunRecords records;
+
+    /** The source of randomness. */
+    private final SplittableRandom random;
+
+    /** The fault. */
+    private volatile Fault fault = Fault.NONE;
+
+    /** The listening server. */
+    private DisposableServer server;
+
+    /**
+     * Creates a stand-in that is not started.
+     *
+     * @param address the address to listen on
+     * @param profile how the stand-in works
+     * @param records receives the runs
+     * @param seed the seed of service times
+     */
+    public BackendServerStandIn(InetSocketAddress address, BackendProfile profile, RunRecords records, long seed) {
+        this.address = address;
+        this.profile = profile;
+        this.records = records;
+        slots = new SlotQueue(profile.slots(), profile.queue());
+        random = new SplittableRandom(seed);
+    }
+
+    /**
+     * Starts to listen.
+     */
+    public void start() {
+        server = HttpServer.create()
+                .bindAddress(() -> address)
+                .httpRequestDecoder(spec -> spec.allowDuplicateContentLengths(false))
+                .route(routes -> routes.get("/health", this::health)
+                        .get("/load", this::load)
+                        .get(RUNS_PATH, (request, response) -> response.sendString(Mono.just(records.print())))
+                        .post(FAULT_PATH + "{name}", this::setFault)
+                        .route(request -> true, this::serve))
+                .bindNow();
+    }
+
+    /**
+     * Stops at once, cutting what is open.
+     */
+    public void stop() {
+        server.disposeNow(Duration.ofMillis(1));
+    }
+
+    /**
+     * Returns the address that the stand-in listens on.
+     *
+     * @return the IP number and port
+     */
+    public String address() {
+        return address.getHostString() + ":" + server.port();
+    }
+
+    /**
+     * Sets the fault.
+     *
+     * @param next the fault from now on
+     */
+    public void fault(Fault next) {
+        fault = next;
+    }
+
+    /**
+     * Returns the records of runs.
+     *
+     * @return the records
+     */
+    public RunRecords records() {
+        return records;
+    }
+
+    /**
+     * Answers whether the stand-in is well.
+     *
+     * @param request the request
+     * @param response the answer
+     * @return completes when the answer is written
+     */
+    private Publisher<Void> health(HttpServerRequest request, HttpServerResponse response) {
+        boolean leaving = fault == Fault.DRAIN;
+        return response.status(leaving ? 503 : 200).sendString(Mono.just(leaving ? "leaving\n" : "healthy\n"));
+    }
+
+    /**
+     * Answers a probe of the load, which takes a slot.
+     *
+     * @param request the request
+     * @param response the answer
+     * @return completes when the answer is written
+     */
+    private Publisher<Void> load(HttpServerRequest request, HttpServerResponse response) {
+        return slots.acquire().flatMap(admitted -> {
+            if (!admitted) {
+                return response.status(REFUSED_STATUS).send();
+            }
+            slots.release();
+            stateLoad(response);
+            return response.sendString(Mono.just("load\n")).then();
+        });
+    }
+
+    /**
+     * Sets the fault.
+     *
+     * @param request the request
+     * @param response the answer
+     * @return completes when the answer is written
+     */
+    private Publisher<Void> setFault(HttpServerRequest request, HttpServerResponse response) {
+        String name = String.valueOf(request.param("name"));
+        fault = Fault.valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+        return response.status(204).send();
+    }
+
+    /**
+     * Runs a request in a slot and answers it.
+     *
+     * @param request the request
+     * @param response the answer
+     * @return completes when the answer is written
+     */
+    private Publisher<Void> serve(HttpServerRequest request, HttpServerResponse response) {
+        if (fault == Fault.SHED) {
+            return refuse(response);
+        }
+        if (fault == Fault.FAIL_FAST) {
+            return response.status(500).sendString(Mono.just("failed\n"));
+        }
+        return slots.acquire().flatMap(admitted -> admitted ? run(request, response) : refuse(response));
+    }
+
+    /**
+     * Refuses a request before running any of it.
+     *
+     * @param response the answer
+     * @return completes when the answer is written
+     */
+    private Mono<Void> refuse(HttpServerResponse response) {
+        stateLoad(response);
+        return response.status(REFUSED_STATUS)
+                .header(REFUSED, REFUSED_VALUE)
+                .sendString(Mono.just("refused\n"))
+                .then();
+    }
+
+    /**
+     * Runs a request that has a slot.
+     *
+     * @param request the request
+     * @param response the answer
+     * @return completes when the answer is written
+     */
+    private Mono<Void> run(HttpServerRequest request, HttpServerResponse response) {
+        String identifier = request.requestHeaders().get(REQUEST_ID, "");
+        records.ran(identifier);
+        return Mono.delay(serviceTime())
+                .doFinally(signal -> slots.release())
+                .flatMap(tick -> answer(request, response, identifier));
+    }
+
+    /**
+     * Returns the time to run a request.
+     *
+     * @return the time
+     */
+    private Duration serviceTime() {
+        double uniform;
+        synchronized (random) {
+            uniform = random.nextDouble();
+        }
+        double exponential = -Math.log(1 - uniform);
+        double share = 1 - profile.spread() + profile.spread() * exponential;
+        double factor = fault == Fault.STRAGGLE ? profile.straggleFactor() : 1;
+        return Duration.ofNanos((long) (profile.serviceTime().toNanos() * share * factor));
+    }
+
+    /**
+     * Answers a request that ran.
+     *
+     * @param request the request
+     * @param response the answer
+     * @param identifier the identifier of the request
+     * @return completes when the answer is written
+     */
+    private Mono<Void> answer(HttpServerRequest request, HttpServerResponse response, String identifier) {
+        stateLoad(response);
+        if (fault == Fault.DRAIN) {
+            response.header(HeaderNames.SERVER_LEAVING, "true");
+        }
+        response.header(REQUEST_ID, identifier).header(ANSWERED_BY, address());
+        if (request.fullPath().endsWith("/echo")) {
+            return response.send(request.receive().retain()).then();
+        }
+        int size = size(request.uri());
+        response.header("Content-Length", Integer.toString(size));
+        int sent = fault == Fault.CUT ? size / 2 : size;
+        Flux<ByteBuf> body = Flux.range(0, (sent + PART_BYTES - 1) / PART_BYTES)
+                .map(part -> part(identifier, Math.min(PART_BYTES, sent - part * PART_BYTES)));
+        if (fault == Fault.CUT) {
+            body = body.concatWith(Mono.error(new IllegalStateException("the answer is cut")));
+        }
+        return response.send(body, buffer -> true).then();
+    }
+
+    /**
+     * Returns a part of an answer.
+     *
+     * @param identifier the identifier of the request
+     * @param size the size in bytes
+     * @return the part
+     */
+    private static ByteBuf part(String identifier, int size) {
+        byte[] bytes = new byte[size];
+        Arrays.fill(bytes, (byte) '.');
+        byte[] name = identifier.getBytes(StandardCharsets.US_ASCII);
+        System.arraycopy(name, 0, bytes, 0, Math.min(name.length, size));
+        return Unpooled.wrappedBuffer(bytes);
+    }
+
+    /**
+     * Returns the size that a request asks for.
+     *
+     * @param uri the target of the request
+     * @return the size in bytes
+     */
+    private static int size(String uri) {
+        int start = uri.indexOf("bytes=");
+        return start < 0 ? USUAL_BYTES : Integer.parseInt(uri.substring(start + "bytes=".length()));
+    }
+
+    /**
+     * States the load on an answer.
+     *
+     * @param response the answer
+     */
+    private void stateLoad(HttpServerResponse response) {
+        int inFlight = fault == Fault.LIE ? 0 : slots.inFlight();
+        response.header(HeaderNames.LOAD_REPORT, LoadReportField.print(new LoadReport(inFlight, profile.slots())));
+    }
+}
--- /dev/null
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadGenerator.java
@@ -0,0 +1,187 @@
+package org.chivecourse.standin.load;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.chivecourse.protocol.http.HeaderNames;
+import org.chivecourse.standin.backend.BackendServerStandIn;
+import org.chivecourse.transport.http.BackendConnections;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufMono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Generates load at a planned rate whatever the answers do, so that a slow answer delays no later request, and checks
+ * that each answer belongs to its request.
+ */
+public final class LoadGenerator {
+
+    /** The largest number of connections to a target. */
+    private static final int CONNECTIONS = 1000;
+
+    /** The status from which an answer is a server's error. */
+    private static final int SERVER_ERRORS = 500;
+
+    /** The plan. */
+    private final LoadPlan plan;
+
+    /** The connections. */
+    private final ConnectionProvider provider = ConnectionProvider.builder("load")
+            .maxConnections(CONNECTIONS)
+            .pendingAcquireMaxCount(-1)
+            .build();
+
+    /** The clients by target. */
+    private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
+
+    /** What the run finds. */
+    private final LoadReportOfRun report = new LoadReportOfRun();
+
+    /**
+     * Creates a generator.
+     *
+     * @param plan the plan
+     */
+    public LoadGenerator(LoadPlan plan) {
+        this.plan = plan;
+    }
+
+    /**
+     * Runs the plan and waits for the last answer.
+     *
+     * @return what the run found
+     */
+    public LoadReportOfRun run() {
+        ReadyTargets targets = new ReadyTargets(plan.targets(), plan.ready());
+        targets.start();
+        SplittableRandom random = new SplittableRandom(plan.seed());
+        Phaser open = new Phaser(1);
+        long start = System.nanoTime();
+        long end = start + plan.duration().toNanos();
+        double planned = start;
+        int number = 0;
+        while (planned < end) {
+            waitUntil((long) planned);
+            send(targets.next(), number++, random.nextInt(100) < plan.writePercent(), (long) planned, open);
+            planned += -Math.log(1 - random.nextDouble()) * TimeUnit.SECONDS.toNanos(1) / plan.rate();
+        }
+        open.arriveAndAwaitAdvance();
+        targets.stop();
+        provider.disposeLater().block();
+        return report;
+    }
+
+    /**
+     * Waits until a time.
+     *
+     * @param time the time in nanoseconds
+     */
+    private static void waitUntil(long time) {
+        long remaining = time - System.nanoTime();
+        while (remaining > 0) {
+            LockSupport.parkNanos(remaining);
+            remaining = time - System.nanoTime();
+        }
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param target the target, {@code null} if none is ready
+     * @param number the number of the request
+     * @param write whether the request is not idempotent
+     * @param planned the planned start in nanoseconds
+     * @param open counts open requests
+     */
+    private void send(String target, int number, boolean write, long planned, Phaser open) {
+        String identifier = plan.label() + "-" + number;
+        if (target == null) {
+            report.record(identifier, write, Result.NOT_CONNECTED, 0);
+            return;
+        }
+        open.register();
+        String path = plan.paths().get(number % plan.paths().size()) + (write ? "/orders" : "/lookups/" + number);
+        exchange(clients.computeIfAbsent(target, this::client), path, write, identifier)
+                .timeout(plan.timeout())
+                .onErrorResume(failure -> Mono.just(resultOf(failure)))
+                .subscribe(result -> {
+                    long microseconds = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - planned);
+                    report.record(identifier, write, result, microseconds);
+                    open.arriveAndDeregister();
+                });
+    }
+
+    /**
+     * Creates the client of a target.
+     *
+     * @param target the address
+     * @return the client
+     */
+    private HttpClient client(String target) {
+        return HttpClient.create(provider)
+                .remoteAddress(() -> BackendConnections.address(target))
+                .disableRetry(true);
+    }
+
+    /**
+     * Exchanges a request and its answer.
+     *
+     * @param client the client
+     * @param path the path
+     * @param write whether the request is not idempotent
+     * @param identifier the identifier of the request
+     * @return how the request ended
+     */
+    private static Mono<Result> exchange(HttpClient client, String path, boolean write, String identifier) {
+        byte[] body = write ? identifier.getBytes(StandardCharsets.US_ASCII) : new byte[0];
+        return client.headers(headers -> headers.set(BackendServerStandIn.REQUEST_ID, identifier))
+                .request(write ? HttpMethod.POST : HttpMethod.GET)
+                .uri(path)
+                .send((request, outbound) -> write ? outbound.sendObject(Unpooled.wrappedBuffer(body)) : outbound)
+                .responseSingle((response, answer) -> check(response, answer, identifier));
+    }
+
+    /**
+     * Checks an answer.
+     *
+     * @param response the header of the answer
+     * @param answer the body of the answer
+     * @param identifier the identifier of the request
+     * @return how the request ended
+     */
+    private static Mono<Result> check(HttpClientResponse response, ByteBufMono answer, String identifier) {
+        return answer.asString().defaultIfEmpty("").map(text -> {
+            String outcome = response.responseHeaders().get(HeaderNames.OUTCOME);
+            if (outcome != null) {
+                return outcome.equals("not-run") ? Result.NOT_RUN : Result.UNKNOWN;
+            }
+            if (response.status().code() >= SERVER_ERRORS) {
+                return Result.SERVER_ERROR;
+            }
+            return text.startsWith(identifier + ".") ? Result.ANSWERED : Result.WRONG;
+        });
+    }
+
+    /**
+     * Returns how a failed request ended.
+     *
+     * @param failure what happened
+     * @return the result
+     */
+    private static Result resultOf(Throwable failure) {
+        if (failure instanceof ConnectException || failure instanceof ConnectTimeoutException) {
+            return Result.NOT_CONNECTED;
+        }
+        return Result.CUT;
+    }
+}
--- /dev/null
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadPlan.java
@@ -0,0 +1,38 @@
+package org.chivecourse.standin.load;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * The load to generate.
+ *
+ * @param targets the addresses to send to
+ * @param ready the addresses of the targets' readiness endpoints in the same order, empty to send to all always
+ * @param paths the paths of services, each preceded by a slash
+ * @param rate the number of requests a second over all targets
+ * @param duration the time for which requests start
+ * @param writePercent the share of non-idempotent requests in percent
+ * @param timeout the time after which a request counts as failed
+ * @param seed the seed of arrivals
+ * @param label the start of the requests' identifiers
+ */
+public record LoadPlan(
+        List<String> targets,
+        List<String> ready,
+        List<String> paths,
+        double rate,
+        Duration duration,
+        int writePercent,
+        Duration timeout,
+        long seed,
+        String label) {
+
+    /**
+     * Creates a plan whose lists are copied.
+     */
+    public LoadPlan {
+        targets = List.copyOf(targets);
+        ready = List.copyOf(ready);
+        paths = List.copyOf(paths);
+    }
+}
