Refuse requests with unclear framing and prove the outcomes of a call

Cause: Netty's decoder refuses most requests that can be read in two ways, but passes unknown transfer encodings and a missing or repeated Host field on. Ruled out: a parser of our own; a folded field is joined by the decoder and leaves as one line, as section 5.2 of RFC 9112 allows, so it is tested as passed on in one line. Change: a check of the framing before a call exists; tests for outcomes, cut answers and stops on raw connections.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -12,6 +12,7 @@
 import org.chivecourse.coordination.decision.Outcome;
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.protocol.http.BadRequestException;
+import org.chivecourse.protocol.http.RequestFraming;
 import org.chivecourse.transport.driver.CoreDriver;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -130,12 +131,30 @@
             return refuse(response, Reason.METHOD_UNSUPPORTED);
         }
         HttpHeaders headers = request.requestHeaders();
-        boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-        String length = headers.get(HttpHeaderNames.CONTENT_LENGTH);
-        if (chunked && length != null) {
+        RequestFraming framing = new RequestFraming(
+                headers.getAll(HttpHeaderNames.HOST),
+                headers.getAll(HttpHeaderNames.TRANSFER_ENCODING),
+                headers.getAll(HttpHeaderNames.CONTENT_LENGTH));
+        try {
+            framing.check();
+            return serve(request, response, method, framing.chunked(), framing.length());
+        } catch (BadRequestException exception) {
             return refuse(response, Reason.BAD_REQUEST);
         }
-        long size = length == null ? 0 : Long.parseLong(length);
+    }
+
+    /**
+     * Serves a request whose framing is clear.
+     *
+     * @param request the request
+     * @param response the answer
+     * @param method the method
+     * @param chunked whether the body states no length
+     * @param size the length of the body in bytes
+     * @return completes when the caller has its answer
+     */
+    private Mono<Void> serve(
+            HttpServerRequest request, HttpServerResponse response, Method method, boolean chunked, long size) {
         if (size > settings.largestBodyBytes()) {
             return refuse(response, Reason.BODY_TOO_LARGE);
         }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -191,6 +191,15 @@
                 && driver.read(core -> core.configurations().revision()) > 0;
     }
 
+    /**
+     * Returns the number of calls that have no final answer yet.
+     *
+     * @return the number of calls
+     */
+    public int openCalls() {
+        return driver.read(HostCore::openCalls);
+    }
+
     /**
      * Prints the status.
      *
--- /dev/null
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/GatewayFixture.java
@@ -0,0 +1,127 @@
+package org.chivecourse.gateway;
+
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import java.util.random.RandomGenerator;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Limits;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.configuration.model.Route;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.gateway.daemon.Gateway;
+import org.chivecourse.gateway.settings.GatewaySettings;
+import org.chivecourse.gateway.settings.GatewaySettingsReader;
+import org.chivecourse.protocol.platform.PlatformProtocol;
+import org.chivecourse.standin.platform.ValueStandIn;
+
+/** A gateway on loopback with a stand-in of the configuration service, for tests of the HTTP path. */
+public final class GatewayFixture implements AutoCloseable {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    private final ValueStandIn configurationService =
+            new ValueStandIn(PlatformProtocol.CONFIGURATION_PATH, new InetSocketAddress("127.0.0.1", 0));
+
+    private final List<Gateway> gateways = new ArrayList<>();
+
+    private final Service service;
+
+    private GatewayFixture(List<String> servers, UnaryOperator<Service> change) {
+        configurationService.start();
+        Service jobs = Service.named("jobs")
+                .limits(Limits.DEFAULT.deadline(Duration.ofSeconds(20)))
+                .refusal(new RefusalSignal(503, "Refused", "before-running"))
+                .route(Route.of("/jobs/lookups", Method.GET, Method.HEAD).attempts(3))
+                .route(Route.of("/jobs/orders", Method.POST));
+        for (String server : servers) {
+            jobs = jobs.backendServer(BackendServer.at(server).in("si-a"));
+        }
+        service = change.apply(jobs);
+        publish(1, service);
+    }
+
+    public static GatewayFixture of(List<String> servers, String... extraSettings) throws Exception {
+        return of(servers, UnaryOperator.identity(), extraSettings);
+    }
+
+    public static GatewayFixture of(List<String> servers, UnaryOperator<Service> change, String... extraSettings)
+            throws Exception {
+        GatewayFixture fixture = new GatewayFixture(servers, change);
+        fixture.startGateway(extraSettings);
+        return fixture;
+    }
+
+    public Gateway startGateway(String... extraSettings) throws Exception {
+        String text = "name: host-" + gateways.size() + "\n"
+                + "data-centre: si-a\n"
+                + "callers: {address: \"127.0.0.1:0\"}\n"
+                + "operators: {address: \"127.0.0.1:0\"}\n"
+                + "configuration-service: [\"" + configurationService.address() + "\"]\n"
+                + "host-list: [\"" + configurationService.address() + "\"]\n"
+                + "expected-hosts: 2\n"
+                + "drain: {linger-milliseconds: 200, deadline-milliseconds: 20000}\n"
+                + String.join("\n", extraSettings);
+        GatewaySettings settings = GatewaySettingsReader.read("test", text);
+        Gateway gateway = new Gateway(settings, RandomGenerator.of("Xoroshiro128PlusPlus"), Clock.systemUTC());
+        gateway.start();
+        gateways.add(gateway);
+        await(gateway::ready);
+        return gateway;
+    }
+
+    /** Waits for a condition that is bound to come, and fails if it does not. */
+    public static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("the condition did not come to hold");
+            }
+            LockSupport.parkNanos(Duration.ofMillis(2).toNanos());
+        }
+    }
+
+    public void publish(long revision, Service changed) {
+        Configuration configuration = Configuration.revision(revision).service(changed);
+        configurationService.publish(new ConfigurationWriter().printUnchecked(configuration));
+    }
+
+    public ValueStandIn configurationService() {
+        return configurationService;
+    }
+
+    public Service service() {
+        return service;
+    }
+
+    public Gateway gateway() {
+        return gateways.get(0);
+    }
+
+    public int port() {
+        return gateway().callerPort();
+    }
+
+    @Override
+    public void close() {
+        gateways.forEach(GatewayFixture::stop);
+        configurationService.stop();
+    }
+
+    private static void stop(Gateway gateway) {
+        gateway.hurry();
+        try {
+            gateway.stop();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/RawConnection.java
@@ -0,0 +1,60 @@
+package org.chivecourse.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A connection on which tests write requests octet by octet. */
+public final class RawConnection implements AutoCloseable {
+
+    private static final int TIMEOUT_MILLISECONDS = 20_000;
+
+    private final Socket socket;
+
+    public RawConnection(int port) throws IOException {
+        socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout(TIMEOUT_MILLISECONDS);
+        socket.setTcpNoDelay(true);
+    }
+
+    public RawConnection write(String text) throws IOException {
+        return write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    public RawConnection write(byte[] octets) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(octets);
+        out.flush();
+        return this;
+    }
+
+    /** Reads until the peer closes. */
+    public String readAll() throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads the header of an answer. */
+    public String readHead() throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = socket.getInputStream();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            int octet = in.read();
+            if (octet < 0) {
+                return text.toString();
+            }
+            text.append((char) octet);
+        }
+        return text.toString();
+    }
+
+    public InputStream input() throws IOException {
+        return socket.getInputStream();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/daemon/HttpPathTest.java
@@ -0,0 +1,167 @@
+package org.chivecourse.gateway.daemon;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.containsStringIgnoringCase;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.util.List;
+import org.chivecourse.gateway.GatewayFixture;
+import org.chivecourse.gateway.RawConnection;
+import org.chivecourse.gateway.RawServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class HttpPathTest {
+
+    private static final String WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+
+    private static final String LAST = " HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n";
+
+    private static String exchange(String answer, String request) throws Exception {
+        try (RawServer server = RawServer.answering(answer);
+                GatewayFixture fixture = GatewayFixture.of(List.of(server.address()));
+                RawConnection caller = new RawConnection(fixture.port())) {
+            return caller.write(request).readAll();
+        }
+    }
+
+    @Test
+    void passesAWholeAnswerOn() throws Exception {
+        assertThat(
+                exchange(WHOLE, "GET /jobs/lookups/1" + LAST),
+                allOf(startsWith("HTTP/1.1 200 OK"), endsWith("\r\n\r\nwhole")));
+    }
+
+    @Test
+    void passesAHeadAnswerOnWithItsLength() throws Exception {
+        assertThat(
+                exchange("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD /jobs/lookups/1" + LAST),
+                allOf(containsStringIgnoringCase("content-length: 5"), endsWith("\r\n\r\n")));
+    }
+
+    @Test
+    void passesAnAnswerWithoutContentOn() throws Exception {
+        assertThat(
+                exchange("HTTP/1.1 204 No Content\r\n\r\n", "GET /jobs/lookups/1" + LAST),
+                allOf(startsWith("HTTP/1.1 204"), endsWith("\r\n\r\n")));
+    }
+
+    @Test
+    void cutsAnAnswerThatIsCutShortVisibly() throws Exception {
+        String answer = exchange("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "GET /jobs/lookups/1" + LAST);
+        assertThat(answer, containsStringIgnoringCase("content-length: 10"));
+        assertThat(answer, endsWith("\r\n\r\nhalf"));
+    }
+
+    @Test
+    void cutsAChunkedAnswerThatIsCutShortVisibly() throws Exception {
+        String answer = exchange(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "GET /jobs/lookups/1" + LAST);
+        assertThat(answer, containsString("half"));
+        assertThat(answer, not(endsWith("0\r\n\r\n")));
+    }
+
+    @Test
+    void doesNotPassOnAnAnswerWhoseEndCannotBeTold() throws Exception {
+        assertThat(
+                exchange("HTTP/1.1 200 OK\r\n\r\nperhaps half", "POST /jobs/orders" + LAST),
+                allOf(startsWith("HTTP/1.1 502"), containsString("Chivecourse-Outcome: unknown")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "0\r\n\r\n",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"
+                        + "0\r\n\r\n",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nContent-Length: 4, 5\r\n\r\nabcde",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\nabcd",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nContent-Length: 4x\r\n\r\nabcd",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, gzip\r\n\r\n",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+                "POST /jobs/orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+                "POST /jobs/orders HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "GET /jobs/lookups/1 HTTP/1.1\r\nHost: a\r\n X-One: 1\r\n\r\n",
+                "GET /jobs/lookups/1 HTTP/1.1\r\nHost: a\r\nX One: 1\r\n\r\n",
+                "GET /jobs/lookups/1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+                "GET /jobs/lookups/1 HTTP/1.1\r\n\r\n",
+                "GET /jobs/lookups/../orders HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET /jobs/lookups/%2e%2e/orders HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET /jobs/lookups%2forders HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET /jobs/lookups/%zz HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET jobs HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET /jobs/lookups/1 HTTP/1.1\r\nHost: a\r\nChivecourse-Deadline-Milliseconds: soon\r\n\r\n",
+            })
+    void refusesRequestsThatCanBeReadInTwoWays(String request) throws Exception {
+        try (RawServer server = RawServer.answering(WHOLE);
+                GatewayFixture fixture = GatewayFixture.of(List.of(server.address()));
+                RawConnection caller = new RawConnection(fixture.port())) {
+            assertThat(caller.write(request).readHead(), startsWith("HTTP/1.1 400"));
+            assertThat(server.requests(), hasSize(0));
+        }
+    }
+
+    @Test
+    void passesAFoldedFieldOnAsOneLine() throws Exception {
+        try (RawServer server = RawServer.answering(WHOLE);
+                GatewayFixture fixture = GatewayFixture.of(List.of(server.address()));
+                RawConnection caller = new RawConnection(fixture.port())) {
+            caller.write("GET /jobs/lookups/1 HTTP/1.1\r\nHost: a\r\nX-One: 1\r\n 2\r\nConnection: close\r\n\r\n")
+                    .readAll();
+            assertThat(server.requests().get(0), containsString("X-One: 1 2\r\n"));
+        }
+    }
+
+    @Test
+    void doesNotPassConnectionFieldsOn() throws Exception {
+        try (RawServer server = RawServer.answering(WHOLE);
+                GatewayFixture fixture = GatewayFixture.of(List.of(server.address()));
+                RawConnection caller = new RawConnection(fixture.port())) {
+            caller.write("GET /jobs/lookups/1?q=a%20b HTTP/1.1\r\nHost: a\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\n"
+                            + "X-End: 2\r\nTE: trailers\r\nUpgrade: h2c\r\nX-Forwarded-For: 10.1.1.1\r\n\r\n")
+                    .readAll();
+            String passed = server.requests().get(0);
+            assertThat(passed, startsWith("GET /jobs/lookups/1?q=a%20b HTTP/1.1\r\n"));
+            assertThat(passed, containsString("X-End: 2"));
+            assertThat(passed, containsString("X-Forwarded-For: 10.1.1.1, 127.0.0.1"));
+            assertThat(passed, not(containsString("X-Hop")));
+            assertThat(passed, not(containsStringIgnoringCase("upgrade")));
+            assertThat(passed, not(containsStringIgnoringCase("\r\nte:")));
+        }
+    }
+
+    @Test
+    void refusesABodyThatIsTooLargeBeforeItIsSent() throws Exception {
+        try (RawServer server = RawServer.answering(WHOLE);
+                GatewayFixture fixture =
+                        GatewayFixture.of(List.of(server.address()), "http: {largest-body-bytes: 1000}");
+                RawConnection caller = new RawConnection(fixture.port())) {
+            caller.write("POST /jobs/orders HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n");
+            assertThat(caller.readHead(), allOf(startsWith("HTTP/1.1 413"), containsString("not-run")));
+            assertThat(server.requests(), hasSize(0));
+        }
+    }
+
+    @Test
+    void keepsAConnectionOpenForTheNextRequest() throws Exception {
+        try (RawServer server = RawServer.answering(WHOLE);
+                GatewayFixture fixture = GatewayFixture.of(List.of(server.address()));
+                RawConnection caller = new RawConnection(fixture.port())) {
+            caller.write("GET /jobs/lookups/1 HTTP/1.1\r\nHost: a\r\n\r\n");
+            assertThat(caller.readHead(), startsWith("HTTP/1.1 200"));
+            assertThat(new String(caller.input().readNBytes(5)), equalTo("whole"));
+            assertThat(caller.write("GET /jobs/lookups/2" + LAST).readAll(), endsWith("whole"));
+        }
+    }
+}
