--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
@@ -1,6 +1,8 @@
 package org.chivecourse.command;
 
 import java.util.concurrent.Callable;
+import org.chivecourse.command.bench.BenchCommand;
+import org.chivecourse.command.demo.DemoCommand;
 import org.chivecourse.gateway.log.JsonLogs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -18,7 +20,10 @@
             ConfigurationCommand.class,
             StatusCommand.class,
             StandInCommand.class,
-            LoadCommand.class
+            LoadCommand.class,
+            ReplayCommand.class,
+            DemoCommand.class,
+            BenchCommand.class
         })
 public final class ChivecourseCommand implements Callable<Integer> {
 
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/GatewayCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/GatewayCommand.java
@@ -1,10 +1,10 @@
 package org.chivecourse.command;
 
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import java.util.random.RandomGenerator;
 import org.chivecourse.gateway.daemon.Gateway;
 import org.chivecourse.gateway.settings.GatewaySettings;
 import org.chivecourse.gateway.settings.GatewaySettingsReader;
@@ -33,8 +33,7 @@
             System.out.println(settings + ": the settings are valid");
             return ExitCode.DONE;
         }
-        RandomGenerator random = RandomGenerator.of("Xoroshiro128PlusPlus");
-        Gateway gateway = new Gateway(read, random, Clock.systemUTC());
+        Gateway gateway = new Gateway(read, new SecureRandom().nextLong(), Clock.systemUTC());
         CountDownLatch asked = new CountDownLatch(1);
         StopSignals.install(() -> {
             if (asked.getCount() == 0) {
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ReplayCommand.java
@@ -0,0 +1,46 @@
+package org.chivecourse.command;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.chivecourse.protocol.trace.PromiseCheck;
+import org.chivecourse.protocol.trace.Trace;
+import org.chivecourse.protocol.trace.TraceFormat;
+import org.chivecourse.protocol.trace.TraceReplay;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Checks a trace and replays it through the decisions. */
+@Command(
+        name = "replay",
+        description = "Checks the promises of a trace and, if it is complete, replays it through the decisions.",
+        mixinStandardHelpOptions = true)
+final class ReplayCommand implements Callable<Integer> {
+
+    /** The file. */
+    @Parameters(index = "0", paramLabel = "TRACE", description = "The trace, as handed out by a gateway at /trace.")
+    private Path file;
+
+    @Override
+    public Integer call() throws Exception {
+        if (!Files.isReadable(file)) {
+            System.err.println("chivecourse: trace " + file + " does not exist or cannot be read");
+            return ExitCode.BAD_INPUT;
+        }
+        Trace trace = new TraceFormat().read(file.toString(), Files.readString(file));
+        List<String> broken = new PromiseCheck().broken(trace);
+        broken.forEach(line -> System.out.println("BROKEN: " + line));
+        List<String> differences = List.of();
+        if (trace.start().complete()) {
+            differences = new TraceReplay().differences(trace);
+            differences.forEach(line -> System.out.println("DIFFERENT: " + line));
+        } else {
+            System.out.println("the trace lacks its start, so that its decisions are checked and not replayed");
+        }
+        System.out.printf(
+                "%d steps, %d broken promises, %d differences%n",
+                trace.steps().size(), broken.size(), differences.size());
+        return broken.isEmpty() && differences.isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Bench.java
@@ -0,0 +1,169 @@
+package org.chivecourse.command.bench;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.HdrHistogram.AbstractHistogram;
+import org.chivecourse.command.fleet.LocalFleet;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.configuration.rule.ConfigurationException;
+import org.chivecourse.gateway.daemon.Gateway;
+import org.chivecourse.gateway.daemon.GatewayException;
+import org.chivecourse.standin.backend.BackendProfile;
+import org.chivecourse.standin.backend.BackendServerStandIn;
+import org.chivecourse.standin.load.LoadGenerator;
+import org.chivecourse.standin.load.LoadPlan;
+import org.chivecourse.standin.load.LoadReportOfRun;
+
+/** Measures variants in turn, round after round, so that the machine's drift falls on all alike. */
+public final class Bench {
+
+    /** The time between two disturbances of backend servers, in milliseconds. */
+    private static final long DISTURBANCE_MILLISECONDS = 1000;
+
+    /** The number of microseconds in a millisecond. */
+    private static final double MICROSECONDS = 1000.0;
+
+    /** What to measure. */
+    private final BenchPlan plan;
+
+    /** The fleets by variant. */
+    private final Map<Variant, LocalFleet> fleets = new EnumMap<>(Variant.class);
+
+    /**
+     * Creates a bench.
+     *
+     * @param plan what to measure
+     */
+    public Bench(BenchPlan plan) {
+        this.plan = plan;
+    }
+
+    /**
+     * Measures.
+     *
+     * @param progress receives each result as it is found
+     * @return the results in their order
+     * @throws ConfigurationException if the configuration is refused
+     * @throws DocumentException if the settings are refused
+     * @throws GatewayException if a gateway cannot start
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public List<SliceResult> run(Consumer<SliceResult> progress)
+            throws ConfigurationException, DocumentException, GatewayException, InterruptedException {
+        List<SliceResult> results = new ArrayList<>();
+        try {
+            for (Variant variant : plan.variants()) {
+                fleets.put(variant, startFleet(variant));
+            }
+            for (int round = 0; round <= plan.rounds(); round++) {
+                for (Variant variant : plan.variants()) {
+                    SliceResult result = measure(variant, round);
+                    if (round > 0) {
+                        results.add(result);
+                        progress.accept(result);
+                    }
+                }
+            }
+        } finally {
+            for (LocalFleet fleet : fleets.values()) {
+                fleet.close();
+            }
+        }
+        return results;
+    }
+
+    /**
+     * Starts the fleet of a variant.
+     *
+     * @param variant the variant
+     * @return the fleet
+     * @throws ConfigurationException if the configuration is refused
+     * @throws DocumentException if the settings are refused
+     * @throws GatewayException if a gateway cannot start
+     * @throws InterruptedException if the thread is interrupted
+     */
+    private LocalFleet startFleet(Variant variant)
+            throws ConfigurationException, DocumentException, GatewayException, InterruptedException {
+        LocalFleet fleet = new LocalFleet(List.of(plan.shape()), this::profile, variant.change(), plan.seed());
+        for (int index = 0; index < plan.gateways(); index++) {
+            fleet.startGateway("si-" + (char) ('a' + index % 3), plan.gateways(), variant.choice());
+        }
+        return fleet;
+    }
+
+    /**
+     * Returns how backend servers work.
+     *
+     * @param usual how they work in their deployment
+     * @return how they work here
+     */
+    private BackendProfile profile(BackendProfile usual) {
+        return plan.instant()
+                ? new BackendProfile(1000, usual.queue(), Duration.ZERO, 0, usual.straggleFactor())
+                : usual;
+    }
+
+    /**
+     * Measures a variant once.
+     *
+     * @param variant the variant
+     * @param round the number of the round
+     * @return the result
+     */
+    private SliceResult measure(Variant variant, int round) {
+        LocalFleet fleet = fleets.get(variant);
+        List<BackendServerStandIn> servers = fleet.servers(plan.shape());
+        SplittableRandom random = new SplittableRandom(plan.seed() + round);
+        ScheduledExecutorService disturbances = Executors.newSingleThreadScheduledExecutor();
+        disturbances.scheduleAtFixedRate(
+                () -> plan.scenario().disturb(servers, random), 0, DISTURBANCE_MILLISECONDS, TimeUnit.MILLISECONDS);
+        LoadPlan load = new LoadPlan(
+                targets(variant, fleet),
+                List.of(),
+                List.of("/" + plan.shape().serviceName()),
+                plan.requestsPerSecond(),
+                plan.slice(),
+                0,
+                Duration.ofSeconds(30),
+                plan.seed() * 31 + round,
+                variant + "-" + round);
+        LoadReportOfRun report = new LoadGenerator(load).run();
+        disturbances.shutdownNow();
+        AbstractHistogram times = report.times();
+        return new SliceResult(
+                variant,
+                round,
+                times.getValueAtPercentile(50) / MICROSECONDS,
+                times.getValueAtPercentile(99) / MICROSECONDS,
+                times.getValueAtPercentile(99.9) / MICROSECONDS,
+                report.counts(),
+                report.broken(fleet.records()::of).size(),
+                ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
+    }
+
+    /**
+     * Returns the addresses that load is sent to.
+     *
+     * @param variant the variant
+     * @param fleet its fleet
+     * @return the addresses
+     */
+    private List<String> targets(Variant variant, LocalFleet fleet) {
+        if (variant == Variant.DIRECT) {
+            return fleet.servers(plan.shape()).stream()
+                    .map(BackendServerStandIn::address)
+                    .toList();
+        }
+        List<Gateway> gateways = fleet.gateways();
+        return LocalFleet.callerAddresses(gateways);
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/BenchReport.java
@@ -0,0 +1,180 @@
+package org.chivecourse.command.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import org.chivecourse.standin.load.Result;
+
+/** Prints the results of a bench as a table and as JSON. */
+public final class BenchReport {
+
+    /** The mapper that prints JSON. */
+    private final ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+
+    /** What was measured. */
+    private final BenchPlan plan;
+
+    /** The results. */
+    private final List<SliceResult> results;
+
+    /**
+     * Creates a report.
+     *
+     * @param plan what was measured
+     * @param results the results
+     */
+    public BenchReport(BenchPlan plan, List<SliceResult> results) {
+        this.plan = plan;
+        this.results = List.copyOf(results);
+    }
+
+    /**
+     * Prints a table with the spread of each variant and its ratio to the first, round by round.
+     *
+     * @return the table
+     */
+    public String table() {
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%s, %s, %.0f requests/s, %d gateways, %d rounds of %d s, seed %d%n",
+                plan.shape().serviceName(),
+                plan.scenario(),
+                plan.requestsPerSecond(),
+                plan.gateways(),
+                plan.rounds(),
+                plan.slice().toSeconds(),
+                plan.seed()));
+        text.append(String.format(
+                "%-20s %28s %28s %24s %24s %8s %7s%n",
+                "variant",
+                "p50 ms (min med max)",
+                "p99 ms (min med max)",
+                "p99 / first (min med max)",
+                "p99 - first ms",
+                "failed",
+                "broken"));
+        plan.variants().forEach(variant -> text.append(row(variant)));
+        return text.toString();
+    }
+
+    /**
+     * Prints the row of a variant.
+     *
+     * @param variant the variant
+     * @return the row
+     */
+    private String row(Variant variant) {
+        List<SliceResult> own = of(variant);
+        List<SliceResult> first = of(plan.variants().get(0));
+        List<Double> ratios = new ArrayList<>();
+        List<Double> differences = new ArrayList<>();
+        for (int index = 0; index < own.size(); index++) {
+            ratios.add(own.get(index).p99() / first.get(index).p99());
+            differences.add(own.get(index).p99() - first.get(index).p99());
+        }
+        int failed = own.stream().mapToInt(BenchReport::failed).sum();
+        int broken = own.stream().mapToInt(SliceResult::broken).sum();
+        return String.format(
+                "%-20s %28s %28s %24s %24s %8d %7d%n",
+                variant,
+                spread(values(own, SliceResult::p50)),
+                spread(values(own, SliceResult::p99)),
+                spread(ratios),
+                spread(differences),
+                failed,
+                broken);
+    }
+
+    /**
+     * Returns the number of requests that were not answered.
+     *
+     * @param result the result
+     * @return the number
+     */
+    private static int failed(SliceResult result) {
+        return result.results().entrySet().stream()
+                .filter(entry -> entry.getKey() != Result.ANSWERED)
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
+    /**
+     * Returns the results of a variant.
+     *
+     * @param variant the variant
+     * @return the results in the order of rounds
+     */
+    private List<SliceResult> of(Variant variant) {
+        return results.stream().filter(result -> result.variant() == variant).toList();
+    }
+
+    /**
+     * Returns a figure of each result.
+     *
+     * @param some the results
+     * @param figure the figure
+     * @return the values
+     */
+    private static List<Double> values(List<SliceResult> some, ToDoubleFunction<SliceResult> figure) {
+        return some.stream().map(figure::applyAsDouble).toList();
+    }
+
+    /**
+     * Prints the least, median and largest of values.
+     *
+     * @param values the values
+     * @return the text
+     */
+    private static String spread(List<Double> values) {
+        List<Double> sorted = values.stream().sorted().toList();
+        if (sorted.isEmpty()) {
+            return "-";
+        }
+        return String.format(
+                Locale.ROOT,
+                "%.3f %.3f %.3f",
+                sorted.get(0),
+                sorted.get(sorted.size() / 2),
+                sorted.get(sorted.size() - 1));
+    }
+
+    /**
+     * Prints everything as JSON.
+     *
+     * @return the JSON document
+     */
+    public String json() {
+        ObjectNode root = mapper.createObjectNode();
+        root.put("service", plan.shape().serviceName());
+        root.put("scenario", plan.scenario().name());
+        root.put("requests-per-second", plan.requestsPerSecond());
+        root.put("gateways", plan.gateways());
+        root.put("slice-seconds", plan.slice().toSeconds());
+        root.put("seed", plan.seed());
+        ArrayNode list = root.putArray("results");
+        for (SliceResult result : results) {
+            ObjectNode node = list.addObject();
+            node.put("variant", result.variant().name());
+            node.put("round", result.round());
+            node.put("p50-milliseconds", result.p50());
+            node.put("p99-milliseconds", result.p99());
+            node.put("p999-milliseconds", result.p999());
+            node.put("broken", result.broken());
+            node.put("load-average", result.load());
+            ObjectNode counts = node.putObject("results");
+            result.results().forEach((kind, count) -> counts.put(kind.name(), count));
+        }
+        try {
+            return mapper.writeValueAsString(root) + "\n";
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a tree of texts and numbers could not be printed", exception);
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/demo/DemoCommand.java
@@ -0,0 +1,143 @@
+package org.chivecourse.command.demo;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
+import org.chivecourse.command.fleet.LocalFleet;
+import org.chivecourse.gateway.daemon.Gateway;
+import org.chivecourse.gateway.log.JsonLogs;
+import org.chivecourse.standin.deployment.ServiceShape;
+import org.chivecourse.standin.load.LoadGenerator;
+import org.chivecourse.standin.load.LoadPlan;
+import org.chivecourse.standin.load.LoadReportOfRun;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Shows gateways, stand-ins and a trickle of load in one process. */
+@Command(
+        name = "demo",
+        description = "Starts stand-ins of both deployments, three gateways and a trickle of load on loopback.",
+        mixinStandardHelpOptions = true)
+public final class DemoCommand implements Callable<Integer> {
+
+    /** The number of gateways. */
+    private static final int GATEWAYS = 3;
+
+    /** The load, in requests a second. */
+    private static final double RATE = 50;
+
+    /** The share of non-idempotent requests in percent. */
+    private static final int WRITE_PERCENT = 20;
+
+    /** The time between two lines of progress, in milliseconds. */
+    private static final long PROGRESS_MILLISECONDS = 1000;
+
+    /** The time for which the demonstration runs. */
+    @Option(names = "--seconds", defaultValue = "3600", description = "The time, ${DEFAULT-VALUE} if not given.")
+    private int seconds;
+
+    /** The seed. */
+    @Option(names = "--seed", defaultValue = "1", description = "The seed, ${DEFAULT-VALUE} if not given.")
+    private long seed;
+
+    /** Creates the command. */
+    public DemoCommand() {}
+
+    @Override
+    public Integer call() throws Exception {
+        JsonLogs.onlyWarnings();
+        List<ServiceShape> shapes = List.of(ServiceShape.values());
+        try (LocalFleet fleet = new LocalFleet(shapes, UnaryOperator.identity(), UnaryOperator.identity(), seed)) {
+            for (int index = 0; index < GATEWAYS; index++) {
+                fleet.startGateway("si-" + (char) ('a' + index), GATEWAYS, "power-of-two");
+            }
+            introduce(fleet);
+            return report(fleet, watch(fleet, load(fleet)));
+        }
+    }
+
+    /**
+     * Prints the addresses and a request that works.
+     *
+     * @param fleet the fleet
+     */
+    private static void introduce(LocalFleet fleet) {
+        for (Gateway gateway : fleet.gateways()) {
+            System.out.println("gateway: callers 127.0.0.1:" + gateway.callerPort() + ", operators 127.0.0.1:"
+                    + gateway.operatorPort());
+        }
+        System.out.println(
+                "configuration service: " + fleet.configurationService().address());
+        int port = fleet.gateways().get(0).callerPort();
+        System.out.println("try: curl -i -H 'Request-Id: mine' http://127.0.0.1:" + port + "/jobs/lookups/7");
+        System.out.println(
+                "try: ./chivecourse status 127.0.0.1:" + fleet.gateways().get(0).operatorPort());
+    }
+
+    /**
+     * Starts the load.
+     *
+     * @param fleet the fleet
+     * @return completes with what the load found
+     */
+    private CompletableFuture<LoadReportOfRun> load(LocalFleet fleet) {
+        LoadPlan plan = new LoadPlan(
+                LocalFleet.callerAddresses(fleet.gateways()),
+                LocalFleet.operatorAddresses(fleet.gateways()),
+                Arrays.stream(ServiceShape.values())
+                        .map(shape -> "/" + shape.serviceName())
+                        .toList(),
+                RATE,
+                Duration.ofSeconds(seconds),
+                WRITE_PERCENT,
+                Duration.ofSeconds(20),
+                seed,
+                "demo");
+        LoadGenerator generator = new LoadGenerator(plan);
+        return CompletableFuture.supplyAsync(generator::run);
+    }
+
+    /**
+     * Prints progress until the load ends.
+     *
+     * @param fleet the fleet
+     * @param load the load
+     * @return what the load found
+     * @throws InterruptedException if the thread is interrupted
+     */
+    private static LoadReportOfRun watch(LocalFleet fleet, CompletableFuture<LoadReportOfRun> load)
+            throws InterruptedException {
+        long start = System.nanoTime();
+        while (!load.isDone()) {
+            Thread.sleep(PROGRESS_MILLISECONDS);
+            long open = fleet.gateways().stream().mapToLong(Gateway::openCalls).sum();
+            long elapsed = Duration.ofNanos(System.nanoTime() - start).toSeconds();
+            System.out.print("\r" + elapsed + " s, open calls " + open + "   ");
+            System.out.flush();
+        }
+        System.out.println();
+        return load.join();
+    }
+
+    /**
+     * Prints what the load found.
+     *
+     * @param fleet the fleet
+     * @param found what the load found
+     * @return the exit code, zero if every promise held
+     */
+    private static int report(LocalFleet fleet, LoadReportOfRun found) {
+        System.out.println("results " + found.counts());
+        System.out.printf(
+                "p50 %.2f ms, p99 %.2f ms%n",
+                found.times().getValueAtPercentile(50) / 1000.0, found.times().getValueAtPercentile(99) / 1000.0);
+        Set<String> broken = found.broken(fleet.records()::of);
+        broken.forEach(line -> System.out.println("BROKEN: " + line));
+        System.out.println(broken.isEmpty() ? "every promise held" : broken.size() + " promises broke");
+        return broken.isEmpty() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demonstration of the whole on loopback. */
+package org.chivecourse.command.demo;
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/fleet/LocalFleet.java
@@ -0,0 +1,234 @@
+package org.chivecourse.command.fleet;
+
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.format.PrintedConfiguration;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.configuration.rule.ConfigurationException;
+import org.chivecourse.gateway.daemon.Gateway;
+import org.chivecourse.gateway.daemon.GatewayException;
+import org.chivecourse.gateway.settings.GatewaySettings;
+import org.chivecourse.gateway.settings.GatewaySettingsReader;
+import org.chivecourse.protocol.platform.HostList;
+import org.chivecourse.protocol.platform.PlatformProtocol;
+import org.chivecourse.standin.backend.BackendProfile;
+import org.chivecourse.standin.backend.BackendServerStandIn;
+import org.chivecourse.standin.backend.RunRecords;
+import org.chivecourse.standin.deployment.ServiceShape;
+import org.chivecourse.standin.platform.ValueStandIn;
+
+/** Stand-ins of the platform and of backend servers, and gateways before them, in this process on loopback. */
+public final class LocalFleet implements AutoCloseable {
+
+    /** The records of runs of all backend servers. */
+    private final RunRecords records = new RunRecords();
+
+    /** The stand-in of the configuration service. */
+    private final ValueStandIn configurationService = new ValueStandIn(PlatformProtocol.CONFIGURATION_PATH, anyPort());
+
+    /** The stand-in of the host list. */
+    private final ValueStandIn hostList = new ValueStandIn(PlatformProtocol.HOSTS_PATH, anyPort());
+
+    /** The stand-ins of backend servers by service. */
+    private final Map<ServiceShape, List<BackendServerStandIn>> servers = new LinkedHashMap<>();
+
+    /** The gateways. */
+    private final List<Gateway> gateways = new ArrayList<>();
+
+    /** The configuration published last. */
+    private PrintedConfiguration published;
+
+    /** The seed of service times and of gateways. */
+    private final long seed;
+
+    /**
+     * Starts the stand-ins.
+     *
+     * @param shapes the services
+     * @param profile changes how backend servers work
+     * @param change changes the services
+     * @param seed the seed of service times and of gateways
+     * @throws ConfigurationException if the configuration is refused
+     */
+    public LocalFleet(
+            List<ServiceShape> shapes, UnaryOperator<BackendProfile> profile, UnaryOperator<Service> change, long seed)
+            throws ConfigurationException {
+        this.seed = seed;
+        configurationService.start();
+        hostList.start();
+        hostList.publish(new HostList(List.of()).print());
+        Configuration configuration = Configuration.revision(1);
+        for (ServiceShape shape : shapes) {
+            List<BackendServerStandIn> standIns = startServers(shape, profile.apply(shape.profile()));
+            servers.put(shape, standIns);
+            List<String> addresses =
+                    standIns.stream().map(BackendServerStandIn::address).toList();
+            configuration = configuration.service(change.apply(shape.service(addresses)));
+        }
+        published = new ConfigurationWriter().print(configuration);
+        configurationService.publish(published.text());
+    }
+
+    /**
+     * Returns a socket address with any free port on loopback.
+     *
+     * @return the socket address
+     */
+    private static InetSocketAddress anyPort() {
+        return new InetSocketAddress("127.0.0.1", 0);
+    }
+
+    /**
+     * Starts the backend servers of a service.
+     *
+     * @param shape the service
+     * @param profile how the backend servers work
+     * @return the backend servers
+     */
+    private List<BackendServerStandIn> startServers(ServiceShape shape, BackendProfile profile) {
+        List<BackendServerStandIn> standIns = new ArrayList<>();
+        for (int index = 0; index < shape.servers(); index++) {
+            long serverSeed = seed * 1000 + shape.ordinal() * 100L + index;
+            BackendServerStandIn standIn = new BackendServerStandIn(anyPort(), profile, records, serverSeed);
+            standIn.start();
+            standIns.add(standIn);
+        }
+        return standIns;
+    }
+
+    /**
+     * Starts a gateway and waits until it is ready.
+     *
+     * @param dataCentre the name of the data centre that it stands in
+     * @param expectedHosts the largest number of gateways
+     * @param choice the name of the way to choose a backend server
+     * @return the gateway
+     * @throws DocumentException if the settings are refused
+     * @throws GatewayException if the gateway cannot start
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public Gateway startGateway(String dataCentre, int expectedHosts, String choice)
+            throws DocumentException, GatewayException, InterruptedException {
+        String text = "name: host-" + (gateways.size() + 1) + "\n"
+                + "data-centre: " + dataCentre + "\n"
+                + "callers: {address: \"127.0.0.1:0\"}\n"
+                + "operators: {address: \"127.0.0.1:0\"}\n"
+                + "configuration-service: [\"" + configurationService.address() + "\"]\n"
+                + "host-list: [\"" + hostList.address() + "\"]\n"
+                + "expected-hosts: " + expectedHosts + "\n"
+                + "choice: " + choice + "\n"
+                + "drain: {linger-milliseconds: 300, deadline-milliseconds: 30000}\n";
+        GatewaySettings settings = GatewaySettingsReader.read("settings", text);
+        Gateway gateway = new Gateway(settings, seed + gateways.size(), Clock.systemUTC());
+        gateway.start();
+        gateways.add(gateway);
+        while (!gateway.ready()) {
+            Thread.sleep(1);
+        }
+        return gateway;
+    }
+
+    /**
+     * Publishes a changed configuration as the next revision.
+     *
+     * @param change changes the configuration
+     * @return the printed configuration
+     * @throws ConfigurationException if the configuration is refused
+     */
+    public PrintedConfiguration publish(UnaryOperator<Configuration> change) throws ConfigurationException {
+        long revision = published.configuration().revision() + 1;
+        Configuration next = change.apply(published.configuration()).following(revision, published.digest());
+        published = new ConfigurationWriter().print(next, published);
+        configurationService.publish(published.text());
+        return published;
+    }
+
+    /**
+     * Returns the stand-in of the configuration service.
+     *
+     * @return the stand-in
+     */
+    public ValueStandIn configurationService() {
+        return configurationService;
+    }
+
+    /**
+     * Returns the stand-ins of a service's backend servers.
+     *
+     * @param shape the service
+     * @return the stand-ins
+     */
+    public List<BackendServerStandIn> servers(ServiceShape shape) {
+        return servers.get(shape);
+    }
+
+    /**
+     * Returns the records of runs of all backend servers.
+     *
+     * @return the records
+     */
+    public RunRecords records() {
+        return records;
+    }
+
+    /**
+     * Returns the gateways.
+     *
+     * @return the gateways in the order of their start
+     */
+    public List<Gateway> gateways() {
+        return gateways;
+    }
+
+    /**
+     * Returns the callers' addresses of gateways.
+     *
+     * @param some the gateways
+     * @return the addresses
+     */
+    public static List<String> callerAddresses(List<Gateway> some) {
+        return some.stream().map(gateway -> "127.0.0.1:" + gateway.callerPort()).toList();
+    }
+
+    /**
+     * Returns the operators' addresses of gateways.
+     *
+     * @param some the gateways
+     * @return the addresses
+     */
+    public static List<String> operatorAddresses(List<Gateway> some) {
+        return some.stream()
+                .map(gateway -> "127.0.0.1:" + gateway.operatorPort())
+                .toList();
+    }
+
+    @Override
+    public void close() {
+        gateways.forEach(LocalFleet::stop);
+        servers.values().forEach(list -> list.forEach(BackendServerStandIn::stop));
+        configurationService.stop();
+        hostList.stop();
+    }
+
+    /**
+     * Stops a gateway without waiting for open exchanges.
+     *
+     * @param gateway the gateway
+     */
+    private static void stop(Gateway gateway) {
+        gateway.hurry();
+        try {
+            gateway.stop();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/test/java/org/chivecourse/command/process/LargeBodyIT.java
@@ -0,0 +1,56 @@
+package org.chivecourse.command.process;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import reactor.core.publisher.Flux;
+import reactor.netty.http.client.HttpClient;
+
+/** Bodies that are larger than the heap of the gateway they pass. */
+class LargeBodyIT {
+
+    private static final int PARTS = 1024;
+
+    private static final int PART_BYTES = 64 * 1024;
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void bodiesOf64MebibytesPassAGatewayOf40MebibytesBothWays() throws Exception {
+        try (ProcessFleet fleet = new ProcessFleet(folder).withConfigurationService()) {
+            fleet.startBackendServer();
+            fleet.publish(1, 10);
+            Process gateway = fleet.startGateway("host-1", "-Xmx40m");
+            CRC32C sent = new CRC32C();
+            CRC32C received = new CRC32C();
+            SplittableRandom random = new SplittableRandom(3);
+            Flux<ByteBuf> body = Flux.range(0, PARTS).map(part -> {
+                byte[] octets = new byte[PART_BYTES];
+                random.nextBytes(octets);
+                sent.update(octets);
+                return Unpooled.wrappedBuffer(octets);
+            });
+            Long size = HttpClient.create()
+                    .post()
+                    .uri("http://" + fleet.callers(gateway) + "/jobs/orders/echo")
+                    .send((request, outbound) -> outbound.send(body))
+                    .responseContent()
+                    .asByteArray()
+                    .doOnNext(received::update)
+                    .map(octets -> (long) octets.length)
+                    .reduce(0L, Long::sum)
+                    .block(Duration.ofSeconds(60));
+            assertThat(size, equalTo((long) PARTS * PART_BYTES));
+            assertThat(received.getValue(), equalTo(sent.getValue()));
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-command-line/src/test/java/org/chivecourse/command/process/ProcessFleet.java
@@ -0,0 +1,230 @@
+package org.chivecourse.command.process;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.chivecourse.command.ChivecourseCommand;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Limits;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.configuration.model.Route;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.protocol.platform.PlatformProtocol;
+import org.chivecourse.standin.load.LoadGenerator;
+import org.chivecourse.standin.load.LoadPlan;
+import org.chivecourse.standin.load.LoadReportOfRun;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/** Gateways and stand-ins as processes of their own, ended with the fixture. */
+final class ProcessFleet implements AutoCloseable {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(60);
+
+    private final Path folder;
+
+    private final List<Process> processes = new ArrayList<>();
+
+    private final Map<Process, String> firstLines = new HashMap<>();
+
+    private String configurationService;
+
+    private final List<String> backendServers = new ArrayList<>();
+
+    ProcessFleet(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Starts a process and waits for the line by which it says that it listens. */
+    Process start(String heap, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                heap,
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Djava.util.logging.manager=org.jboss.logmanager.LogManager",
+                "-cp",
+                System.getProperty("java.class.path"),
+                ChivecourseCommand.class.getName()));
+        command.addAll(List.of(arguments));
+        Path log = folder.resolve("process-" + processes.size() + ".log");
+        Process process =
+                new ProcessBuilder(command).redirectError(log.toFile()).start();
+        processes.add(process);
+        BufferedReader reader = new BufferedReader(new InputStreamReader(process.getInputStream()));
+        String line = reader.readLine();
+        if (line == null) {
+            throw new IOException("the process ended at once: " + Files.readString(log));
+        }
+        firstLines.put(process, line);
+        return process;
+    }
+
+    ProcessFleet withConfigurationService() throws IOException {
+        Process process = start("-Xmx64m", "stand-in", "configuration-service");
+        configurationService = word(process, 1);
+        return this;
+    }
+
+    Process startBackendServer(String... arguments) throws IOException {
+        List<String> all = new ArrayList<>(List.of("stand-in", "backend-server"));
+        all.addAll(List.of(arguments));
+        Process process = start("-Xmx128m", all.toArray(new String[0]));
+        backendServers.add(word(process, 1));
+        return process;
+    }
+
+    Process startGateway(String name, String heap) throws IOException {
+        Path settings = folder.resolve(name + ".yaml");
+        Files.writeString(
+                settings,
+                "name: " + name + "\ndata-centre: si-a\n"
+                        + "callers: {address: \"127.0.0.1:0\"}\n"
+                        + "operators: {address: \"127.0.0.1:0\"}\n"
+                        + "configuration-service: [\"" + configurationService + "\"]\n"
+                        + "host-list: [\"" + configurationService + "\"]\n"
+                        + "expected-hosts: 3\n"
+                        + "drain: {linger-milliseconds: 500, deadline-milliseconds: 30000}\n");
+        Process process = start(heap, "gateway", "--settings", settings.toString());
+        await(() -> get(operators(process), "/ready").startsWith("ready"));
+        return process;
+    }
+
+    private String word(Process process, int index) {
+        return firstLines.get(process).split(" ")[index];
+    }
+
+    String callers(Process gateway) {
+        return "127.0.0.1:" + word(gateway, 1);
+    }
+
+    String operators(Process gateway) {
+        return "127.0.0.1:" + word(gateway, 3);
+    }
+
+    /** Publishes a configuration of the service jobs with the backend servers started so far. */
+    void publish(long revision, int queueLimit) {
+        put(new ConfigurationWriter()
+                .printUnchecked(Configuration.revision(revision).service(jobs(queueLimit))));
+    }
+
+    private Service jobs(int queueLimit) {
+        Service jobs = Service.named("jobs")
+                .limits(Limits.DEFAULT.deadline(Duration.ofSeconds(10)).queueLimit(queueLimit))
+                .refusal(new RefusalSignal(503, "Refused", "before-running"))
+                .route(Route.of("/jobs/lookups", Method.GET).attempts(3))
+                .route(Route.of("/jobs/orders", Method.POST));
+        for (String server : backendServers) {
+            jobs = jobs.backendServer(BackendServer.at(server).in("si-a"));
+        }
+        return jobs;
+    }
+
+    void put(String text) {
+        HttpClient.create()
+                .put()
+                .uri("http://" + configurationService + PlatformProtocol.CONFIGURATION_PATH)
+                .send((request, outbound) -> outbound.sendString(Mono.just(text)))
+                .response()
+                .block(PATIENCE);
+    }
+
+    void post(String address, String path) {
+        HttpClient.create().post().uri("http://" + address + path).response().block(PATIENCE);
+    }
+
+    String configurationService() {
+        return configurationService;
+    }
+
+    /** Returns the body of an answer, empty if there is none. */
+    static String get(String address, String path) {
+        return HttpClient.create()
+                .responseTimeout(Duration.ofSeconds(5))
+                .get()
+                .uri("http://" + address + path)
+                .responseSingle((response, body) -> body.asString())
+                .onErrorResume(failure -> Mono.empty())
+                .blockOptional(PATIENCE)
+                .orElse("");
+    }
+
+    /** Starts load on gateways and returns what it finds once it has ended. */
+    CompletableFuture<LoadReportOfRun> load(String label, int seconds, Process... gateways) {
+        List<String> targets = new ArrayList<>();
+        List<String> ready = new ArrayList<>();
+        for (Process gateway : gateways) {
+            targets.add(callers(gateway));
+            ready.add(operators(gateway));
+        }
+        LoadPlan plan = new LoadPlan(
+                targets,
+                ready,
+                List.of("/jobs"),
+                100,
+                Duration.ofSeconds(seconds),
+                50,
+                Duration.ofSeconds(60),
+                7,
+                label);
+        return CompletableFuture.supplyAsync(new LoadGenerator(plan)::run);
+    }
+
+    /** Returns how often each request ran, over all backend servers that answer. */
+    Map<String, Integer> runs() {
+        Map<String, Integer> runs = new HashMap<>();
+        for (String server : backendServers) {
+            get(server, "/stand-in/runs").lines().forEach(line -> {
+                int space = line.lastIndexOf(' ');
+                runs.merge(line.substring(0, space), Integer.parseInt(line.substring(space + 1)), Integer::sum);
+            });
+        }
+        return runs;
+    }
+
+    static void signal(Process process, String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("the condition did not come to hold");
+            }
+            pause(20);
+        }
+    }
+
+    static void pause(long milliseconds) {
+        LockSupport.parkNanos(Duration.ofMillis(milliseconds).toNanos());
+    }
+
+    @Override
+    public void close() {
+        processes.forEach(process -> signal(process, "CONT"));
+        processes.forEach(Process::destroyForcibly);
+    }
+}
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Service.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Service.java
@@ -111,7 +111,17 @@
     public Service route(Route route) {
         List<Route> longer = new ArrayList<>(routes);
         longer.add(route);
-        return new Service(name, pathPrefix, priority, limits, refusal, measuring, longer, backendServers);
+        return routes(longer);
+    }
+
+    /**
+     * Returns this service with other routes.
+     *
+     * @param rules the routes, of which the first that covers a request applies
+     * @return the changed service
+     */
+    public Service routes(List<Route> rules) {
+        return new Service(name, pathPrefix, priority, limits, refusal, measuring, rules, backendServers);
     }
 
     /**
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/trace/TraceFormat.java
@@ -0,0 +1,164 @@
+package org.chivecourse.protocol.trace;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.configuration.format.ConfigurationReader;
+import org.chivecourse.configuration.format.PrintedConfiguration;
+import org.chivecourse.configuration.format.ReadConfiguration;
+import org.chivecourse.configuration.rule.ConfigurationException;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Event;
+
+/** Prints and reads traces as JSON lines: the start on the first line and a step on each further line. */
+public final class TraceFormat {
+
+    /** The mapper that prints and reads lines. */
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    /**
+     * Creates a format.
+     */
+    public TraceFormat() {
+        SimpleModule module = new SimpleModule();
+        module.addSerializer(ReadConfiguration.class, new ConfigurationPrinter());
+        module.addDeserializer(ReadConfiguration.class, new ConfigurationParser());
+        module.addSerializer(PrintedConfiguration.class, new PrintedConfigurationPrinter());
+        module.addDeserializer(PrintedConfiguration.class, new PrintedConfigurationParser());
+        mapper.registerModule(module);
+        mapper.addMixIn(Event.class, Named.class);
+        mapper.addMixIn(Decision.class, Named.class);
+        for (Class<?> type : Event.class.getPermittedSubclasses()) {
+            mapper.registerSubtypes(type);
+        }
+        for (Class<?> type : Decision.class.getPermittedSubclasses()) {
+            mapper.registerSubtypes(type);
+        }
+    }
+
+    /**
+     * Prints a trace.
+     *
+     * @param trace the trace
+     * @return the lines
+     */
+    public String print(Trace trace) {
+        StringBuilder text = new StringBuilder(line(trace.start()));
+        trace.steps().forEach(step -> text.append(line(step)));
+        return text.toString();
+    }
+
+    /**
+     * Prints a value on a line.
+     *
+     * @param value the value
+     * @return the line
+     */
+    private String line(Object value) {
+        try {
+            return mapper.writeValueAsString(value) + "\n";
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a record could not be printed", exception);
+        }
+    }
+
+    /**
+     * Reads a trace.
+     *
+     * @param source the name of the text in errors
+     * @param text the lines
+     * @return the trace
+     * @throws TraceException if a line is not of the format
+     */
+    public Trace read(String source, String text) throws TraceException {
+        List<String> lines = text.lines().toList();
+        if (lines.isEmpty()) {
+            throw new TraceException(source + ":1: the trace is empty");
+        }
+        TraceStart start = read(source, 1, lines.get(0), TraceStart.class);
+        if (start.format() != TraceStart.FORMAT) {
+            throw new TraceException(source + ":1: format " + start.format() + " is not " + TraceStart.FORMAT);
+        }
+        List<TraceStep> steps = new ArrayList<>();
+        for (int index = 1; index < lines.size(); index++) {
+            steps.add(read(source, index + 1, lines.get(index), TraceStep.class));
+        }
+        return new Trace(start, steps);
+    }
+
+    /**
+     * Reads a line.
+     *
+     * @param source the name of the text in errors
+     * @param number the number of the line
+     * @param line the line
+     * @param type the type of its value
+     * @param <T> the type of its value
+     * @return the value
+     * @throws TraceException if the line is not of the format
+     */
+    private <T> T read(String source, int number, String line, Class<T> type) throws TraceException {
+        try {
+            return mapper.readValue(line, type);
+        } catch (JsonProcessingException exception) {
+            throw new TraceException(source + ":" + number + ": " + exception.getOriginalMessage());
+        }
+    }
+
+    /** Names the type of an event or decision by its record. */
+    @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
+    private interface Named {}
+
+    /** Prints a configuration as its text. */
+    private static final class ConfigurationPrinter extends JsonSerializer<ReadConfiguration> {
+
+        @Override
+        public void serialize(ReadConfiguration value, JsonGenerator out, SerializerProvider provider)
+                throws IOException {
+            out.writeString(value.printed().text());
+        }
+    }
+
+    /** Prints a configuration that is put in force as its text. */
+    private static final class PrintedConfigurationPrinter extends JsonSerializer<PrintedConfiguration> {
+
+        @Override
+        public void serialize(PrintedConfiguration value, JsonGenerator out, SerializerProvider provider)
+                throws IOException {
+            out.writeString(value.text());
+        }
+    }
+
+    /** Reads a configuration from its text. */
+    private static final class ConfigurationParser extends JsonDeserializer<ReadConfiguration> {
+
+        @Override
+        public ReadConfiguration deserialize(JsonParser in, DeserializationContext context) throws IOException {
+            try {
+                return new ConfigurationReader().read("trace", in.getText());
+            } catch (DocumentException | ConfigurationException exception) {
+                throw new IOException("the configuration of a step cannot be read: " + exception.getMessage());
+            }
+        }
+    }
+
+    /** Reads a configuration that is put in force from its text. */
+    private static final class PrintedConfigurationParser extends JsonDeserializer<PrintedConfiguration> {
+
+        @Override
+        public PrintedConfiguration deserialize(JsonParser in, DeserializationContext context) throws IOException {
+            return new ConfigurationParser().deserialize(in, context).printed();
+        }
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
@@ -9,6 +9,7 @@
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostCore;
+import org.chivecourse.protocol.trace.TraceRecorder;
 
 /** Feeds events into a decision core, one at a time, and hands its decisions to a performer. */
 public final class CoreDriver {
@@ -16,6 +17,9 @@
     /** The decision core. */
     private final HostCore core;
 
+    /** Keeps the latest steps. */
+    private final TraceRecorder recorder;
+
     /** Admits one thread at a time to the decision core. */
     private final ReentrantLock lock = new ReentrantLock();
 
@@ -29,9 +33,11 @@
      * Creates a driver.
      *
      * @param core the decision core
+     * @param recorder keeps the latest steps
      */
-    public CoreDriver(HostCore core) {
+    public CoreDriver(HostCore core, TraceRecorder recorder) {
         this.core = core;
+        this.recorder = recorder;
     }
 
     /**
@@ -61,7 +67,9 @@
         List<Decision> decisions = new ArrayList<>(2);
         lock.lock();
         try {
-            core.handle(event, System.nanoTime(), decisions::add);
+            long now = System.nanoTime();
+            core.handle(event, now, decisions::add);
+            recorder.record(now, event, decisions);
         } finally {
             lock.unlock();
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -105,6 +105,7 @@
         if (!proceeding || dropped) {
             return Mono.error(new IllegalStateException("the attempt was withdrawn"));
         }
+        register.metrics().attempted(send.number());
         exchange.fillHeaders(request, send);
         return exchange.sendBody(outbound);
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -20,6 +20,7 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
 import reactor.core.publisher.Sinks;
 import reactor.netty.NettyOutbound;
 import reactor.netty.http.client.HttpClientRequest;
@@ -50,6 +51,9 @@
     /** Receives what writes the answer. */
     private final Sinks.One<Mono<Void>> answer = Sinks.one();
 
+    /** The time of arrival in nanoseconds. */
+    private final long arrivedAt = System.nanoTime();
+
     /** Whether the answer was decided. */
     private final AtomicBoolean decided = new AtomicBoolean();
 
@@ -89,16 +93,22 @@
     Mono<Void> serve() {
         register.add(this);
         driver.handle(new Event.CallArrived(call, request.arrival()));
-        return answer.asMono().flatMap(writing -> writing).doFinally(signal -> end());
+        return answer.asMono().flatMap(writing -> writing).doFinally(this::end);
     }
 
     /**
      * Ends the exchange and tells the core in case it has not decided an answer.
+     *
+     * @param signal how the exchange ended
      */
-    private void end() {
+    private void end(SignalType signal) {
         if (!ended.compareAndSet(false, true)) {
             return;
         }
+        if (signal != SignalType.ON_COMPLETE) {
+            register.metrics().aborted();
+        }
+        register.metrics().ended(System.nanoTime() - arrivedAt);
         register.removeExchange(call);
         driver.handle(new Event.CallerLeft(call));
     }
@@ -234,7 +244,9 @@
         if (attempt.bodyless()) {
             return body.doOnNext(ByteBuf::release).then(Mono.defer(() -> Mono.from(response.send())));
         }
-        return response.send(body, buffer -> true).then();
+        return response.send(body, buffer -> true)
+                .then()
+                .doOnSuccess(done -> register.metrics().delivered());
     }
 
     /**
@@ -248,6 +260,7 @@
         }
         answer.tryEmitValue(Mono.defer(() -> {
             closeIfStopping();
+            register.metrics().refused(refusal.outcome());
             return writeRefusal(response, refusal, head());
         }));
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -17,6 +17,7 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
+import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -83,7 +84,18 @@
                         .allowDuplicateContentLengths(false))
                 .handle(this::serve);
         SslContext context = tls.get();
-        server = (context == null ? builder : builder.secure(spec -> spec.sslContext(context))).bindNow();
+        server = (context == null ? builder : secured(builder, context)).bindNow();
+    }
+
+    /**
+     * Returns a server that takes HTTP/1.1 and HTTP/2 over TLS.
+     *
+     * @param builder the plain server
+     * @param context the TLS context
+     * @return the server
+     */
+    private static HttpServer secured(HttpServer builder, SslContext context) {
+        return builder.protocol(HttpProtocol.H2, HttpProtocol.HTTP11).secure(spec -> spec.sslContext(context));
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
@@ -44,6 +44,9 @@
     /** The largest number of gateways that a call may pass. */
     private static final int LARGEST_DEPTH = 64;
 
+    /** The start of header fields by which the library describes HTTP/2 streams. */
+    private static final String LIBRARY_FIELDS = "x-http2-";
+
     /** The longest idempotency key in characters. */
     private static final int LONGEST_KEY = 255;
 
@@ -146,7 +149,10 @@
      */
     boolean passedOn(String name) {
         String lower = name.toLowerCase(Locale.ROOT);
-        return !HeaderNames.hopByHop(lower) && !lower.equals("expect") && !connectionFields.contains(lower);
+        return !HeaderNames.hopByHop(lower)
+                && !lower.equals("expect")
+                && !lower.startsWith(LIBRARY_FIELDS)
+                && !connectionFields.contains(lower);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegister.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegister.java
@@ -15,6 +15,9 @@
     /** The connections to backend servers. */
     private final BackendConnections connections;
 
+    /** Counts and times exchanges. */
+    private final ExchangeMetrics metrics;
+
     /** The open exchanges with callers, by identifier of the call. */
     private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
 
@@ -26,10 +29,21 @@
      *
      * @param driver the driver of the decision core
      * @param connections the connections to backend servers
+     * @param metrics counts and times exchanges
      */
-    public ExchangeRegister(CoreDriver driver, BackendConnections connections) {
+    public ExchangeRegister(CoreDriver driver, BackendConnections connections, ExchangeMetrics metrics) {
         this.driver = driver;
         this.connections = connections;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Returns what counts and times exchanges.
+     *
+     * @return the metrics
+     */
+    ExchangeMetrics metrics() {
+        return metrics;
     }
 
     /**
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -3,13 +3,12 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
 import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.model.RefusalSignal;
 import org.chivecourse.configuration.model.Service;
@@ -22,12 +21,15 @@
 import org.chivecourse.gateway.operator.OperatorListener;
 import org.chivecourse.gateway.operator.StatusPrinter;
 import org.chivecourse.gateway.settings.GatewaySettings;
-import org.chivecourse.gateway.tls.TlsContexts;
+import org.chivecourse.gateway.tls.ReloadingTls;
 import org.chivecourse.gateway.tls.TlsException;
 import org.chivecourse.protocol.platform.PlatformProtocol;
+import org.chivecourse.protocol.trace.TraceFormat;
+import org.chivecourse.protocol.trace.TraceRecorder;
 import org.chivecourse.transport.driver.CoreDriver;
 import org.chivecourse.transport.http.BackendConnections;
 import org.chivecourse.transport.http.CallerListener;
+import org.chivecourse.transport.http.ExchangeMetrics;
 import org.chivecourse.transport.http.ExchangeRegister;
 import org.chivecourse.transport.platform.PlatformWatch;
 import org.jboss.logging.Logger;
@@ -65,9 +67,18 @@
     /** The trail of changes. */
     private final AuditTrail audit;
 
+    /** Keeps the latest steps of the decision core. */
+    private final TraceRecorder recorder;
+
     /** What is known of the platform's replicas. */
     private final PlatformContacts contacts;
 
+    /** The TLS context of callers' connections. */
+    private final ReloadingTls callerTls;
+
+    /** The TLS context of connections to backend servers. */
+    private final ReloadingTls backendTls;
+
     /** Tells the core that time passes. */
     private final ScheduledExecutorService ticks = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "ticks");
@@ -85,18 +96,16 @@
      * Creates a gateway that is not started.
      *
      * @param settings the settings
-     * @param random the source of randomness
+     * @param seed the seed of the source of randomness
      * @param clock tells the time of changes
      * @throws GatewayException if the TLS files cannot be used
      */
-    public Gateway(GatewaySettings settings, RandomGenerator random, Clock clock) throws GatewayException {
+    public Gateway(GatewaySettings settings, long seed, Clock clock) throws GatewayException {
         this.settings = settings;
-        SslContext callerTls;
-        SslContext backendTls;
         try {
-            callerTls = TlsContexts.server(
+            callerTls = ReloadingTls.server(
                     settings.callers().certificate(), settings.callers().key());
-            backendTls = TlsContexts.client(settings.backendTrust());
+            backendTls = ReloadingTls.client(settings.backendTrust());
         } catch (TlsException exception) {
             throw new GatewayException(exception.getMessage(), exception);
         }
@@ -104,20 +113,21 @@
         contacts = new PlatformContacts(clock);
         HostSettings host =
                 new HostSettings(settings.name(), settings.dataCentre(), settings.choice(), settings.largestCalls());
-        driver = new CoreDriver(new HostCore(host, random));
-        connections = new BackendConnections(settings.expectedHosts(), settings.http(), () -> backendTls);
-        exchanges = new ExchangeRegister(driver, connections);
-        callers =
-                new CallerListener(listening(settings.callers()), settings.http(), () -> callerTls, driver, exchanges);
+        recorder = new TraceRecorder(host, seed, settings.traceSteps());
+        driver = new CoreDriver(new HostCore(host, new SplittableRandom(seed)), recorder);
+        connections = new BackendConnections(settings.expectedHosts(), settings.http(), backendTls::context);
         MetricRegistry metrics = new MetricRegistry();
+        exchanges = new ExchangeRegister(driver, connections, new ExchangeMetrics(metrics));
+        callers = new CallerListener(
+                listening(settings.callers()), settings.http(), callerTls::context, driver, exchanges);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::open);
         operators = new OperatorListener(
-                listening(settings.operators()), this::ready, this::status, new MetricsPrinter(metrics));
+                listening(settings.operators()), this::ready, this::status, new MetricsPrinter(metrics), this::trace);
         configurationWatch = new PlatformWatch(
                 settings.configurationService(),
                 PlatformProtocol.CONFIGURATION_PATH,
                 new ConfigurationFeed(driver, contacts),
-                random);
+                new SplittableRandom(seed));
         driver.perform(this::perform);
     }
 
@@ -146,6 +156,8 @@
         }
         long tick = HostCore.TICK_NANOSECONDS;
         ticks.scheduleAtFixedRate(this::tick, tick, tick, TimeUnit.NANOSECONDS);
+        long reload = ReloadingTls.INTERVAL.toMillis();
+        ticks.scheduleWithFixedDelay(this::reloadTls, reload, reload, TimeUnit.MILLISECONDS);
         state = GatewayState.RUNNING;
         audit.step("started", "start");
         configurationWatch.start();
@@ -162,6 +174,14 @@
         }
     }
 
+    /**
+     * Takes over changed TLS files.
+     */
+    private void reloadTls() {
+        callerTls.reload();
+        backendTls.reload();
+    }
+
     /**
      * Carries out a decision.
      *
@@ -217,6 +237,15 @@
         return status.toPrettyString();
     }
 
+    /**
+     * Prints the latest steps of the decision core.
+     *
+     * @return the trace as JSON lines
+     */
+    public String trace() {
+        return new TraceFormat().print(recorder.trace());
+    }
+
     /**
      * Returns the port that callers connect to.
      *
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/JsonLogs.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/JsonLogs.java
@@ -14,9 +14,19 @@
     /** The system property that names the log manager of the JDK's logging. */
     private static final String MANAGER_PROPERTY = "java.util.logging.manager";
 
+    /** The library's log of callers' malformed requests and cut connections, which the metrics count. */
+    private static final String LIBRARY_SERVER = "reactor.netty.http.server";
+
     /** Not to be constructed. */
     private JsonLogs() {}
 
+    /**
+     * Leaves out everything that is not a warning or an error.
+     */
+    public static void onlyWarnings() {
+        LogContext.getLogContext().getLogger("").setLevel(Level.WARN);
+    }
+
     /**
      * Sets logging up; to be called before the first logger is created.
      */
@@ -34,5 +44,6 @@
         }
         root.setLevel(Level.INFO);
         root.addHandler(handler);
+        LogContext.getLogContext().getLogger(LIBRARY_SERVER).setLevel(Level.OFF);
     }
 }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/OperatorListener.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/OperatorListener.java
@@ -25,6 +25,9 @@
     /** Prints the metrics. */
     private final MetricsPrinter metrics;
 
+    /** Prints the latest steps of the decision core. */
+    private final Supplier<String> trace;
+
     /** The listening server, {@code null} before the start. */
     private DisposableServer server;
 
@@ -35,13 +38,19 @@
      * @param ready whether the balancer may send callers here
      * @param status prints the status as JSON
      * @param metrics prints the metrics
+     * @param trace prints the latest steps of the decision core
      */
     public OperatorListener(
-            InetSocketAddress address, BooleanSupplier ready, Supplier<String> status, MetricsPrinter metrics) {
+            InetSocketAddress address,
+            BooleanSupplier ready,
+            Supplier<String> status,
+            MetricsPrinter metrics,
+            Supplier<String> trace) {
         this.address = address;
         this.ready = ready;
         this.status = status;
         this.metrics = metrics;
+        this.trace = trace;
     }
 
     /**
@@ -53,6 +62,7 @@
                 .route(routes -> routes.get("/health", (request, response) -> text(response, () -> "alive\n"))
                         .get("/ready", (request, response) -> readiness(response))
                         .get("/status", (request, response) -> json(response, status))
+                        .get("/trace", (request, response) -> text(response, trace))
                         .get("/metrics.json", (request, response) -> json(response, metrics::json))
                         .get("/metrics", (request, response) -> text(response, metrics::text)))
                 .bindNow();
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param choice the way to choose a backend server
  * @param http the bounds on connections
  * @param largestCalls the number of calls that the gateway holds at the same time
+ * @param traceSteps the number of steps of the decision core that are kept for operators
  * @param drain the times of a stop
  * @param backendTrust the file with the certificates that backend servers are trusted by, empty for plain connections
  */
@@ -32,6 +33,7 @@
         ChoicePolicy choice,
         HttpSettings http,
         int largestCalls,
+        int traceSteps,
         Drain drain,
         String backendTrust) {
 
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -25,6 +25,9 @@
     /** The largest number of calls at the same time. */
     private static final int LARGEST_CALLS = 1_000_000;
 
+    /** The largest number of steps that are kept for operators. */
+    private static final int LARGEST_TRACE_STEPS = 1_000_000;
+
     /** The largest size of a body that is held, in bytes. */
     private static final int LARGEST_REPLAY_BYTES = 1024 * 1024;
 
@@ -79,6 +82,7 @@
                 reader.choice("choice", ChoicePolicy.class, ChoicePolicy.POWER_OF_TWO),
                 reader.has("http") ? http(reader.mapping("http")) : HttpSettings.DEFAULT,
                 (int) reader.integer("largest-calls", 1, LARGEST_CALLS, 10_000),
+                (int) reader.integer("trace-steps", 0, LARGEST_TRACE_STEPS, 2_000),
                 drain(reader.mapping("drain")),
                 file(reader, "backend-trust"));
         String callers = settings.callers().address();
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/tls/TlsContexts.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/tls/TlsContexts.java
@@ -1,30 +1,41 @@
 package org.chivecourse.gateway.tls;
 
+import io.netty.handler.ssl.ApplicationProtocolConfig;
+import io.netty.handler.ssl.ApplicationProtocolConfig.Protocol;
+import io.netty.handler.ssl.ApplicationProtocolConfig.SelectedListenerFailureBehavior;
+import io.netty.handler.ssl.ApplicationProtocolConfig.SelectorFailureBehavior;
+import io.netty.handler.ssl.ApplicationProtocolNames;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslContextBuilder;
 import java.io.File;
 import javax.net.ssl.SSLException;
 
 /** Builds TLS contexts from files. */
-public final class TlsContexts {
+final class TlsContexts {
+
+    /** The protocols that listeners offer, the preferred first. */
+    private static final ApplicationProtocolConfig PROTOCOLS = new ApplicationProtocolConfig(
+            Protocol.ALPN,
+            SelectorFailureBehavior.NO_ADVERTISE,
+            SelectedListenerFailureBehavior.ACCEPT,
+            ApplicationProtocolNames.HTTP_2,
+            ApplicationProtocolNames.HTTP_1_1);
 
     /** Not to be constructed. */
     private TlsContexts() {}
 
     /**
-     * Returns the context of a listener.
+     * Returns the context of a listener for HTTP.
      *
-     * @param certificate the file with the certificate chain, empty for plain connections
+     * @param certificate the file with the certificate chain
      * @param key the file with the private key
-     * @return the context, or {@code null} for plain connections
+     * @return the context
      * @throws TlsException if the files do not hold a certificate and its key
      */
-    public static SslContext server(String certificate, String key) throws TlsException {
-        if (certificate.isEmpty()) {
-            return null;
-        }
+    static SslContext server(String certificate, String key) throws TlsException {
         try {
             return SslContextBuilder.forServer(new File(certificate), new File(key))
+                    .applicationProtocolConfig(PROTOCOLS)
                     .build();
         } catch (SSLException | IllegalArgumentException exception) {
             throw new TlsException("certificate \"" + certificate + "\" with key \"" + key + "\"", exception);
@@ -34,14 +45,11 @@
     /**
      * Returns the context for connections to backend servers.
      *
-     * @param trust the file with the certificates that are trusted, empty for plain connections
-     * @return the context, or {@code null} for plain connections
+     * @param trust the file with the certificates that are trusted
+     * @return the context
      * @throws TlsException if the file does not hold certificates
      */
-    public static SslContext client(String trust) throws TlsException {
-        if (trust.isEmpty()) {
-            return null;
-        }
+    static SslContext client(String trust) throws TlsException {
         try {
             return SslContextBuilder.forClient().trustManager(new File(trust)).build();
         } catch (SSLException | IllegalArgumentException exception) {
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/GatewayFixture.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/GatewayFixture.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
-import java.util.random.RandomGenerator;
 import org.chivecourse.configuration.format.ConfigurationWriter;
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.model.Configuration;
@@ -60,10 +59,21 @@
         return fixture;
     }
 
+    public static GatewayFixture withCallers(String callers, List<String> servers) throws Exception {
+        GatewayFixture fixture = new GatewayFixture(servers, UnaryOperator.identity());
+        fixture.startWith(callers);
+        return fixture;
+    }
+
     public Gateway startGateway(String... extraSettings) throws Exception {
+        return startWith("callers: {address: \"127.0.0.1:0\"}", extraSettings);
+    }
+
+    private Gateway startWith(String callers, String... extraSettings) throws Exception {
         String text = "name: host-" + gateways.size() + "\n"
                 + "data-centre: si-a\n"
-                + "callers: {address: \"127.0.0.1:0\"}\n"
+                + callers
+                + "\n"
                 + "operators: {address: \"127.0.0.1:0\"}\n"
                 + "configuration-service: [\"" + configurationService.address() + "\"]\n"
                 + "host-list: [\"" + configurationService.address() + "\"]\n"
@@ -71,7 +81,7 @@
                 + "drain: {linger-milliseconds: 200, deadline-milliseconds: 20000}\n"
                 + String.join("\n", extraSettings);
         GatewaySettings settings = GatewaySettingsReader.read("test", text);
-        Gateway gateway = new Gateway(settings, RandomGenerator.of("Xoroshiro128PlusPlus"), Clock.systemUTC());
+        Gateway gateway = new Gateway(settings, 7, Clock.systemUTC());
         gateway.start();
         gateways.add(gateway);
         await(gateway::ready);
--- /dev/null
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
@@ -0,0 +1,89 @@
+package org.chivecourse.gateway.settings;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Pattern;
+import org.chivecourse.configuration.document.DocumentException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class GatewaySettingsReaderTest {
+
+    private static final Path EXAMPLE = Path.of("..", "examples", "gateway.yaml");
+
+    @Test
+    void readsTheExample() throws Exception {
+        GatewaySettings settings = GatewaySettingsReader.read(EXAMPLE);
+        assertThat(settings.name(), equalTo("entry-1"));
+        assertThat(settings.expectedHosts(), equalTo(14));
+    }
+
+    @Test
+    void showsTheDefaultsInTheExample() throws Exception {
+        String shortened = "name: entry-1\ndata-centre: si-a\ncallers: {address: \"127.0.0.1:8080\"}\n"
+                + "operators: {address: \"127.0.0.1:8081\"}\nconfiguration-service: [\"127.0.0.1:7000\"]\n"
+                + "host-list: [\"127.0.0.1:7001\"]\nexpected-hosts: 14\n"
+                + "drain: {linger-milliseconds: 5000, deadline-milliseconds: 60000}\n";
+        assertThat(GatewaySettingsReader.read("short", shortened), equalTo(GatewaySettingsReader.read(EXAMPLE)));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "name: entry-1 | nam: entry-1 | name | missing",
+                "name: entry-1 | name: '' | name | a text",
+                "name: entry-1 | name: [entry-1] | name | a text",
+                "data-centre: si-a | data-center: si-a | data-centre | missing",
+                "address: 127.0.0.1:8080 | address: 127.0.0.1 | callers.address | a port",
+                "address: 127.0.0.1:8080 | address: 127.0.0.1:99999 | callers.address | 65535",
+                "address: 127.0.0.1:8080 | address: 127.0.0.1:8081 | operators | other than",
+                "address: 127.0.0.1:8081 | adress: 127.0.0.1:8081 | operators.address | missing",
+                "[\"127.0.0.1:7000\"] | [] | configuration-service | at least one",
+                "[\"127.0.0.1:7000\"] | 127.0.0.1:7000 | configuration-service | a list",
+                "[\"127.0.0.1:7000\"] | [nowhere] | configuration-service | a port",
+                "[\"127.0.0.1:7001\"] | [{a: b}] | host-list | a list of texts",
+                "expected-hosts: 14 | expected-hosts: 0 | expected-hosts | 1 to 1000",
+                "expected-hosts: 14 | expected-hosts: many | expected-hosts | 1 to 1000",
+                "choice: power-of-two | choice: best | choice | one of random",
+                "largest-calls: 10000 | largest-calls: -1 | largest-calls | 1 to 1000000",
+                "trace-steps: 2000 | trace-steps: 2.5 | trace-steps | 0 to 1000000",
+                "trace-steps: 2000 | trace-step: 2000 | trace-step | unknown key",
+                "header-bytes: 16384 | header-bytes: 10 | http.largest-header-bytes | 1024 to",
+                "body-bytes: 1073741824 | body-bytes: 1G | http.largest-body-bytes | an integer",
+                "replay-bytes: 65536 | replay-bytes: 9999999 | http.replay-bytes | 0 to 1048576",
+                "read-timeout-milliseconds: 20000 | read-timeout: 20000 | http.read-timeout | unknown key",
+                "idle-timeout-milliseconds: 60000 | idle-timeout-milliseconds: 0 | http.idle-timeout-milliseconds | 1 to",
+                "connect-timeout-milliseconds: 500 | connect-timeout-milliseconds: 1s | http.connect-timeout | 1 to",
+                "linger-milliseconds: 5000 | linger-milliseconds: 60000 | drain.deadline-milliseconds | more than",
+                "linger-milliseconds: 5000 | linger: 5000 | drain.linger-milliseconds | missing",
+                "deadline-milliseconds: 60000 | deadline-milliseconds: x | drain.deadline-milliseconds | 1 to 3600000",
+                "# certificate: /etc/chivecourse/callers.pem | certificate: /no/file | callers.certificate | a file",
+                "# key: /etc/chivecourse/callers.key | key: pom.xml | callers.key | together",
+                "# backend-trust: /etc/chivecourse/backend-servers.pem | backend-trust: /no | backend-trust | a file",
+            })
+    void namesTheLineKeyValueAndWhatIsAllowed(String old, String next, String key, String allowed) throws Exception {
+        String text = Files.readString(EXAMPLE).replaceFirst(Pattern.quote(old), next);
+        DocumentException thrown =
+                assertThrows(DocumentException.class, () -> GatewaySettingsReader.read("file.yaml", text));
+        assertThat(
+                thrown.getMessage(),
+                allOf(startsWith("file.yaml:"), containsString("\"" + key), containsString(allowed)));
+        assertThat(thrown.getMessage().lines().count(), equalTo(1L));
+    }
+
+    @Test
+    void namesAMissingFile() {
+        DocumentException thrown =
+                assertThrows(DocumentException.class, () -> GatewaySettingsReader.read(Path.of("no-such-file.yaml")));
+        assertThat(thrown.getMessage(), equalTo("no-such-file.yaml: file does not exist"));
+    }
+}
--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/BackendServerStandIn.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/BackendServerStandIn.java
@@ -55,6 +55,18 @@
     /** The size of the parts of large answers, in bytes. */
     private static final int PART_BYTES = 16 * 1024;
 
+    /** The time for which a neighbour takes the machine or leaves it, in nanoseconds. */
+    private static final long NOISE_NANOSECONDS = 8_000_000;
+
+    /** One in so many times is taken by a neighbour. */
+    private static final int NOISE_ODDS = 12;
+
+    /** Spreads the seeds of servers over the times that neighbours take. */
+    private static final long NOISE_MIX = 0x9e3779b97f4a7c15L;
+
+    /** The time until a server that has just started is warm, in nanoseconds. */
+    private static final long COLD_NANOSECONDS = 5_000_000_000L;
+
     /** The address to listen on. */
     private final InetSocketAddress address;
 
@@ -73,6 +85,12 @@
     /** The fault. */
     private volatile Fault fault = Fault.NONE;
 
+    /** The time at which the fault began, in nanoseconds. */
+    private volatile long faultSince;
+
+    /** The seed of service times. */
+    private final long seed;
+
     /** The listening server. */
     private DisposableServer server;
 
@@ -89,6 +107,7 @@
         this.profile = profile;
         this.records = records;
         slots = new SlotQueue(profile.slots(), profile.queue());
+        this.seed = seed;
         random = new SplittableRandom(seed);
     }
 
@@ -129,6 +148,7 @@
      * @param next the fault from now on
      */
     public void fault(Fault next) {
+        faultSince = System.nanoTime();
         fault = next;
     }
 
@@ -180,7 +200,7 @@
      */
     private Publisher<Void> setFault(HttpServerRequest request, HttpServerResponse response) {
         String name = String.valueOf(request.param("name"));
-        fault = Fault.valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+        fault(Fault.valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_')));
         return response.status(204).send();
     }
 
@@ -225,6 +245,10 @@
     private Mono<Void> run(HttpServerRequest request, HttpServerResponse response) {
         String identifier = request.requestHeaders().get(REQUEST_ID, "");
         records.ran(identifier);
+        if (profile.serviceTime().isZero()) {
+            slots.release();
+            return answer(request, response, identifier);
+        }
         return Mono.delay(serviceTime())
                 .doFinally(signal -> slots.release())
                 .flatMap(tick -> answer(request, response, identifier));
@@ -242,8 +266,29 @@
         }
         double exponential = -Math.log(1 - uniform);
         double share = 1 - profile.spread() + profile.spread() * exponential;
-        double factor = fault == Fault.STRAGGLE ? profile.straggleFactor() : 1;
-        return Duration.ofNanos((long) (profile.serviceTime().toNanos() * share * factor));
+        return Duration.ofNanos((long) (profile.serviceTime().toNanos() * share * slowness(System.nanoTime())));
+    }
+
+    /**
+     * Returns how many times longer a request takes now.
+     *
+     * @param now the time in nanoseconds
+     * @return the factor
+     */
+    private double slowness(long now) {
+        if (fault == Fault.STRAGGLE) {
+            return profile.straggleFactor();
+        }
+        if (fault == Fault.NOISY) {
+            long slice = now / NOISE_NANOSECONDS;
+            boolean taken = new SplittableRandom(slice ^ seed * NOISE_MIX).nextInt(NOISE_ODDS) == 0;
+            return taken ? profile.straggleFactor() : 1;
+        }
+        if (fault == Fault.COLD) {
+            double warm = (double) (now - faultSince) / COLD_NANOSECONDS;
+            return warm >= 1 ? 1 : 1 + (profile.straggleFactor() - 1) * (1 - warm);
+        }
+        return 1;
     }
 
     /**
--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/Fault.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/Fault.java
@@ -8,6 +8,12 @@
     /** Each request takes several times as long. */
     STRAGGLE,
 
+    /** A neighbour takes the machine for a few milliseconds every now and then. */
+    NOISY,
+
+    /** The stand-in has just started, and its requests take longer until it is warm. */
+    COLD,
+
     /** The stand-in says that it leaves, and refuses nothing. */
     DRAIN,
 
