--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Variant.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Variant.java
@@ -20,7 +20,16 @@
     LEAST_IN_FLIGHT("least-in-flight", false, false),
 
     /** Gateways choose the better of two backend servers. */
-    POWER_OF_TWO("power-of-two", false, false);
+    POWER_OF_TWO("power-of-two", false, false),
+
+    /** Gateways choose the least estimated time, without hedging and without probes. */
+    ESTIMATE("least-estimate", false, false),
+
+    /** Gateways choose the least estimated time with hedging, without probes. */
+    ESTIMATE_HEDGED("least-estimate", true, false),
+
+    /** Gateways choose the least estimated time with hedging and probes. */
+    ESTIMATE_PROBED("least-estimate", true, true);
 
     /** The name of the way to choose a backend server. */
     private final String choice;
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/demo/DemoCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/demo/DemoCommand.java
@@ -53,7 +53,7 @@
         List<ServiceShape> shapes = List.of(ServiceShape.values());
         try (LocalFleet fleet = new LocalFleet(shapes, UnaryOperator.identity(), UnaryOperator.identity(), seed)) {
             for (int index = 0; index < GATEWAYS; index++) {
-                fleet.startGateway("si-" + (char) ('a' + index), GATEWAYS, "power-of-two");
+                fleet.startGateway("si-" + (char) ('a' + index), GATEWAYS, "least-estimate");
             }
             introduce(fleet);
             return report(fleet, watch(fleet, load(fleet)));
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -1,27 +1,31 @@
 package org.chivecourse.coordination.call;
 
-import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
-import org.chivecourse.coordination.decision.Outcome;
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.ejection.Ejection;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.coordination.limit.ExpectedWait;
+import org.chivecourse.coordination.poison.PoisonRegister;
 import org.chivecourse.coordination.retry.RetryRule;
 import org.chivecourse.state.call.AttemptState;
 import org.chivecourse.state.call.CallPhase;
 import org.chivecourse.state.call.CallState;
+import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.server.LeavingCause;
 import org.chivecourse.state.server.ServerState;
 
 /** Leads each call from its arrival to one final answer. */
 public final class CallCoordinator {
 
-    /** The time after which a refused caller may come back, in seconds. */
-    private static final int RETRY_AFTER_SECONDS = 1;
+    /** The status from which an answer is a failure of the backend server. */
+    private static final int SERVER_ERRORS = 500;
+
+    /** The number of percent in a whole. */
+    private static final long PERCENT = 100;
 
     /** What the core knows of its host. */
     private final HostSettings settings;
@@ -29,12 +33,18 @@
     /** The services of the configuration in force. */
     private final ServiceRegister services;
 
-    /** Selects backend servers. */
-    private final ServerSelector selector;
-
     /** The calls without a final answer and their attempts. */
     private final CallLedger ledger = new CallLedger();
 
+    /** Gives calls their final answers. */
+    private final FinalAnswers answers;
+
+    /** Starts attempts. */
+    private final AttemptLauncher launcher;
+
+    /** The requests that crash backend servers. */
+    private final PoisonRegister poison = new PoisonRegister();
+
     /**
      * Creates a coordinator without calls.
      *
@@ -45,7 +55,8 @@
     public CallCoordinator(HostSettings settings, ServiceRegister services, RandomGenerator random) {
         this.settings = settings;
         this.services = services;
-        selector = new ServerSelector(settings.policy(), random);
+        answers = new FinalAnswers(services, ledger);
+        launcher = new AttemptLauncher(ledger, new ServerSelector(settings.policy(), random), poison);
     }
 
     /**
@@ -56,22 +67,38 @@
      * @param sink receives the decisions that follow
      */
     public void arrive(Event.CallArrived event, long now, DecisionSink sink) {
-        Optional<ServiceState> service = services.serviceFor(event.arrival().path());
-        if (service.isEmpty()) {
-            boolean configured = services.configuration().revision() > 0;
-            Reason reason = configured ? Reason.NO_SERVICE : Reason.NO_CONFIGURATION;
-            refuse(event.call(), reason, event.arrival(), configured ? 0 : RETRY_AFTER_SECONDS, sink);
-            return;
-        }
-        if (ledger.size() >= settings.largestCalls()) {
-            refuse(event.call(), Reason.QUEUE_FULL, event.arrival(), RETRY_AFTER_SECONDS, sink);
+        ServiceState service = services.serviceFor(event.arrival().path()).orElse(null);
+        Reason refusal = refusalOf(event.arrival(), service, now);
+        if (refusal != null) {
+            answers.refuse(event.call(), refusal, event.arrival(), sink);
             return;
         }
-        CallState call =
-                new CallState(event.call(), TermsOfCalls.of(service.get().service(), event.arrival(), now));
+        CallState call = new CallState(event.call(), TermsOfCalls.of(service.service(), event.arrival(), now));
         ledger.add(call);
-        service.get().retries().earn();
-        attemptOrWait(service.get(), call, now, sink);
+        service.retries().earn();
+        attemptOrWait(service, call, now, sink);
+    }
+
+    /**
+     * Returns why an arrival does not become a call.
+     *
+     * @param arrival what is known of the request
+     * @param service the service, {@code null} if no service has the path
+     * @param now the time in nanoseconds
+     * @return the reason, or {@code null} if the arrival becomes a call
+     */
+    private Reason refusalOf(Arrival arrival, ServiceState service, long now) {
+        if (services.configuration().revision() == 0) {
+            return Reason.NO_CONFIGURATION;
+        }
+        if (service == null) {
+            return Reason.NO_SERVICE;
+        }
+        if (poison.convicted(arrival.fingerprint(), now)) {
+            return Reason.CONVICTED;
+        }
+        int share = service.service().priority().queueSharePercent();
+        return ledger.size() * PERCENT >= (long) settings.largestCalls() * share ? Reason.QUEUE_FULL : null;
     }
 
     /**
@@ -83,38 +110,29 @@
      * @param sink receives the decisions that follow
      */
     private void attemptOrWait(ServiceState service, CallState call, long now, DecisionSink sink) {
-        ServerState server = selector.select(service, call, now);
-        if (server != null) {
-            attempt(call, server, sink);
+        call.enter(CallPhase.WAITING);
+        if (poison.suspected(call.terms().fingerprint(), now)) {
+            if (!service.quarantine().offer(call)) {
+                answers.giveUp(call, Reason.QUEUE_FULL, sink);
+            }
+            launcher.pump(service, now, sink);
+            return;
+        }
+        if (launcher.launch(service, call, now, sink)) {
             return;
         }
         if (!ServerSelector.anyStaying(service)) {
-            giveUp(call, Reason.NO_SERVER, sink);
+            answers.giveUp(call, Reason.NO_SERVER, sink);
             return;
         }
-        call.enter(CallPhase.WAITING);
-        if (!service.waiting().offer(call)) {
-            giveUp(call, Reason.QUEUE_FULL, sink);
+        long wait = ExpectedWait.nanoseconds(service.waiting().size(), service.servers());
+        if (now + wait - call.terms().deadline() > 0) {
+            answers.giveUp(call, Reason.DEADLINE_UNREACHABLE, sink);
+        } else if (!service.waiting().offer(call)) {
+            answers.giveUp(call, Reason.QUEUE_FULL, sink);
         }
     }
 
-    /**
-     * Starts an attempt.
-     *
-     * @param call the call
-     * @param server the backend server
-     * @param sink receives the decisions that follow
-     */
-    private void attempt(CallState call, ServerState server, DecisionSink sink) {
-        AttemptState attempt = ledger.begin(call, server);
-        sink.decide(new Decision.Send(
-                call.identifier(),
-                attempt.identifier(),
-                server.address(),
-                call.terms().deadline(),
-                call.attempts().size()));
-    }
-
     /**
      * Decides, as the last step before bytes are sent, whether an attempt still may proceed.
      *
@@ -136,6 +154,10 @@
             return;
         }
         attempt.proceed(now);
+        ServiceState service = services.service(attempt.call().terms().service());
+        if (service != null) {
+            service.hedges().sent(attempt);
+        }
         sink.decide(new Decision.Proceed(identifier));
     }
 
@@ -174,9 +196,10 @@
         }
         failed(attempt.server(), event.reason(), now, sink);
         if (attempt.call().phase() == CallPhase.ATTEMPTING) {
+            suspect(attempt, now, sink);
             againOrGiveUp(attempt.call(), Reason.CONNECTION_BROKEN, now, sink);
         } else if (attempt.call().phase() == CallPhase.DELIVERING) {
-            finish(attempt.call(), sink);
+            answers.finish(attempt.call(), sink);
         }
         pump(attempt.call(), now, sink);
     }
@@ -199,12 +222,56 @@
             refused(attempt, event.answer(), now, sink);
             return;
         }
-        attempt.server().responded(now - attempt.sentAt());
+        if (event.answer().status() >= SERVER_ERRORS) {
+            failed(attempt.server(), "status " + event.answer().status(), now, sink);
+        } else {
+            succeeded(attempt, now);
+        }
+        poison.answered(attempt.call().terms().fingerprint());
         attempt.call().enter(CallPhase.DELIVERING);
         ledger.dropOthers(attempt.call(), attempt, sink);
         sink.decide(new Decision.Deliver(attempt.call().identifier(), attempt.identifier()));
     }
 
+    /**
+     * Records an answer that is no failure of its backend server.
+     *
+     * @param attempt the attempt
+     * @param now the time in nanoseconds
+     */
+    private void succeeded(AttemptState attempt, long now) {
+        long taken = now - attempt.sentAt();
+        attempt.server().responded(taken, attempt.inFlight());
+        ServiceState service = services.service(attempt.call().terms().service());
+        if (service != null) {
+            service.hedges().answered(taken);
+        }
+    }
+
+    /**
+     * Records that a request was in flight at a backend server that failed.
+     *
+     * @param attempt the attempt that broke
+     * @param now the time in nanoseconds
+     * @param sink receives the change if the request is convicted
+     */
+    private void suspect(AttemptState attempt, long now, DecisionSink sink) {
+        CallTerms terms = attempt.call().terms();
+        ServiceState service = services.service(terms.service());
+        boolean alone = service != null && service.quarantine().alone(attempt);
+        if (poison.failed(terms.fingerprint(), attempt.server().address(), alone, now)) {
+            String name = terms.method() + " " + terms.path() + " " + Long.toHexString(terms.fingerprint());
+            sink.decide(new Decision.Audit(new Decision.Change(
+                    Decision.Subject.REQUEST_CONVICTED,
+                    name,
+                    "suspected",
+                    "convicted",
+                    "crashes of backend servers coincided with it, last "
+                            + attempt.server().address(),
+                    services.configuration().revision())));
+        }
+    }
+
     /**
      * Records what the header of an answer says of its backend server.
      *
@@ -233,6 +300,7 @@
      */
     private void refused(AttemptState attempt, Event.AnswerHead answer, long now, DecisionSink sink) {
         attempt.refused();
+        attempt.server().refused();
         ledger.end(attempt.identifier());
         sink.decide(new Decision.Drop(attempt.identifier()));
         againOrGiveUp(attempt.call(), Reason.REFUSED, now, sink);
@@ -252,7 +320,7 @@
             return;
         }
         if (attempt.call().phase() == CallPhase.DELIVERING) {
-            finish(attempt.call(), sink);
+            answers.finish(attempt.call(), sink);
         }
         pump(attempt.call(), now, sink);
     }
@@ -269,7 +337,7 @@
         if (call == null) {
             return;
         }
-        finish(call, sink);
+        answers.finish(call, sink);
         pump(call, now, sink);
     }
 
@@ -284,7 +352,7 @@
         while (call != null) {
             boolean open = call.phase() == CallPhase.WAITING || call.phase() == CallPhase.ATTEMPTING;
             if (open) {
-                giveUp(call, Reason.DEADLINE_PASSED, sink);
+                answers.giveUp(call, Reason.DEADLINE_PASSED, sink);
                 pump(call, now, sink);
             }
             call = ledger.pollExpired(now);
@@ -293,14 +361,15 @@
     }
 
     /**
-     * Starts attempts of waiting calls wherever there is room.
+     * Starts attempts of waiting calls wherever there is room, and second copies where they are due.
      *
      * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
     public void capacityChanged(long now, DecisionSink sink) {
         for (ServiceState service : services.all()) {
-            pump(service, now, sink);
+            launcher.pump(service, now, sink);
+            launcher.hedge(service, now, sink);
         }
     }
 
@@ -314,26 +383,7 @@
     private void pump(CallState call, long now, DecisionSink sink) {
         ServiceState service = services.service(call.terms().service());
         if (service != null) {
-            pump(service, now, sink);
-        }
-    }
-
-    /**
-     * Starts attempts of calls that wait for a service.
-     *
-     * @param service the service
-     * @param now the time in nanoseconds
-     * @param sink receives the decisions that follow
-     */
-    private void pump(ServiceState service, long now, DecisionSink sink) {
-        while (service.waiting().size() > 0) {
-            CallState call = service.waiting().poll();
-            ServerState server = selector.select(service, call, now);
-            if (server == null) {
-                service.waiting().offer(call);
-                return;
-            }
-            attempt(call, server, sink);
+            launcher.pump(service, now, sink);
         }
     }
 
@@ -350,79 +400,37 @@
             return;
         }
         ServiceState service = services.service(call.terms().service());
-        if (service != null && RetryRule.INSTANCE.allows(call, service.retries(), now)) {
+        boolean refused = poison.convicted(call.terms().fingerprint(), now);
+        if (service != null && !refused && RetryRule.INSTANCE.allows(call, service.retries(), now)) {
             attemptOrWait(service, call, now, sink);
             return;
         }
-        giveUp(call, reason, sink);
+        answers.giveUp(call, reason, sink);
     }
 
     /**
-     * Gives a call up and tells its caller at once.
-     *
-     * @param call the call
-     * @param reason why
-     * @param sink receives the decisions that follow
-     */
-    private void giveUp(CallState call, Reason reason, DecisionSink sink) {
-        boolean notRun = call.provablyNotRun() && !mayRunElsewhere(call.terms().key());
-        Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-        boolean again = notRun || call.terms().idempotent();
-        finish(call, sink);
-        Decision.Refusal refusal = new Decision.Refusal(outcome, reason, again ? RETRY_AFTER_SECONDS : 0);
-        sink.decide(new Decision.Refuse(call.identifier(), refusal));
-    }
-
-    /**
-     * Refuses an arrival that did not become a call.
-     *
-     * @param call the identifier of the call
-     * @param reason why
-     * @param arrival what is known of the request
-     * @param retryAfterSeconds when a copy of the request makes sense, zero if it never does
-     * @param sink receives the decision
-     */
-    private static void refuse(long call, Reason reason, Arrival arrival, int retryAfterSeconds, DecisionSink sink) {
-        Outcome outcome = mayRunElsewhere(arrival.key()) ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-        sink.decide(new Decision.Refuse(call, new Decision.Refusal(outcome, reason, retryAfterSeconds)));
-    }
-
-    /**
-     * Returns whether another host may have run a copy of a request.
-     *
-     * @param key the idempotency key of the request, empty if the caller gave none
-     * @return {@code true} for a request with a key, since no host knows what the others have run
-     */
-    private static boolean mayRunElsewhere(String key) {
-        return !key.isEmpty();
-    }
-
-    /**
-     * Finishes a call and drops its open attempts.
+     * Records a failure of a backend server.
      *
-     * @param call the call
+     * @param server the backend server
+     * @param reason what happened
+     * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
-    private void finish(CallState call, DecisionSink sink) {
-        if (call.phase() == CallPhase.WAITING) {
-            ServiceState service = services.service(call.terms().service());
-            if (service != null) {
-                service.waiting().remove(call);
-            }
+    private void failed(ServerState server, String reason, long now, DecisionSink sink) {
+        ServiceState service = services.serviceOf(server.address());
+        if (service != null) {
+            long revision = services.configuration().revision();
+            Ejection.INSTANCE.failed(server, service.servers(), reason, now, revision, sink);
         }
-        ledger.finish(call, sink);
     }
 
     /**
-     * Records a failure of a backend server.
+     * Returns the requests that crash backend servers.
      *
-     * @param server the backend server
-     * @param reason what happened
-     * @param now the time in nanoseconds
-     * @param sink receives the decisions that follow
+     * @return the register
      */
-    private void failed(ServerState server, String reason, long now, DecisionSink sink) {
-        Ejection.INSTANCE.failed(server, reason, now, services.configuration().revision(), sink);
+    public PoisonRegister poison() {
+        return poison;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallLedger.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallLedger.java
@@ -1,6 +1,5 @@
 package org.chivecourse.coordination.call;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -21,8 +20,7 @@
     private final Map<Long, AttemptState> attempts = new HashMap<>();
 
     /** The calls in the order of their deadlines; finished calls leave when their deadline passes. */
-    private final PriorityQueue<CallState> deadlines =
-            new PriorityQueue<>(Comparator.comparingLong(call -> call.terms().deadline()));
+    private final PriorityQueue<CallState> deadlines = new PriorityQueue<>(CallState.BY_DEADLINE);
 
     /** The number of attempts so far. */
     private long attemptCount;
@@ -62,14 +60,15 @@
      *
      * @param call the call
      * @param server the backend server
+     * @param inFlight the estimated number of requests in flight at the backend server, this one included
+     * @param now the time in nanoseconds
      * @return the attempt
      */
-    AttemptState begin(CallState call, ServerState server) {
-        AttemptState attempt = new AttemptState(++attemptCount, call, server);
+    AttemptState begin(CallState call, ServerState server, double inFlight, long now) {
+        AttemptState attempt = new AttemptState(++attemptCount, call, server, inFlight, now);
         call.add(attempt);
         call.enter(CallPhase.ATTEMPTING);
         attempts.put(attempt.identifier(), attempt);
-        server.begin();
         return attempt;
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -16,6 +16,9 @@
     /** The source of randomness. */
     private final RandomGenerator random;
 
+    /** The backend server that is kept free for a suspect, {@code null} if none is. */
+    private ServerState reserved;
+
     /** The candidates of the present choice. */
     private final Candidates candidates = new Candidates();
 
@@ -30,6 +33,35 @@
         this.random = random;
     }
 
+    /**
+     * Starts a choice.
+     *
+     * @param service the service
+     * @param now the time in nanoseconds
+     */
+    void begin(ServiceState service, long now) {
+        candidates.begin(service.servers(), now);
+        reserved = service.quarantine().reserved();
+    }
+
+    /**
+     * Selects a backend server that has an idle slot and that the call has not been tried on.
+     *
+     * @param service the service
+     * @param call the call
+     * @param now the time in nanoseconds
+     * @return the backend server, or {@code null} if none has
+     */
+    ServerState selectIdle(ServiceState service, CallState call, long now) {
+        begin(service, now);
+        candidates.collect(
+                service.servers(),
+                server -> free(server, now)
+                        && !call.tried(server)
+                        && candidates.inFlight(server) < server.server().slots());
+        return candidates.size() == 0 ? null : policy.choose(candidates, service.nextTurn(), random);
+    }
+
     /**
      * Selects a backend server, preferring those that the call has not been tried on.
      *
@@ -39,15 +71,16 @@
      * @return the backend server, or {@code null} if none may take the call now
      */
     ServerState select(ServiceState service, CallState call, long now) {
+        begin(service, now);
         boolean again = !call.attempts().isEmpty();
         if (again) {
-            candidates.collect(service.servers(), server -> free(server, now) && !call.tried(server), now);
+            candidates.collect(service.servers(), server -> free(server, now) && !call.tried(server));
         }
         if (!again || candidates.size() == 0) {
-            candidates.collect(service.servers(), server -> free(server, now), now);
+            candidates.collect(service.servers(), server -> free(server, now));
         }
         if (candidates.size() == 0) {
-            candidates.collect(service.servers(), ServerSelector::unlessEjected, now);
+            candidates.collect(service.servers(), this::unlessEjected);
         }
         if (candidates.size() == 0) {
             return null;
@@ -55,6 +88,16 @@
         return policy.choose(candidates, service.nextTurn(), random);
     }
 
+    /**
+     * Returns the estimated number of requests in flight at a backend server that was just selected.
+     *
+     * @param server the backend server
+     * @return the number of requests, one to come included
+     */
+    double inFlight(ServerState server) {
+        return candidates.inFlight(server) + 1;
+    }
+
     /**
      * Returns whether a service has a backend server that is not leaving.
      *
@@ -77,7 +120,7 @@
      * @param now the time in nanoseconds
      * @return {@code true} if it is neither leaving nor ejected nor full
      */
-    private static boolean free(ServerState server, long now) {
+    private boolean free(ServerState server, long now) {
         return unlessEjected(server) && !server.ejected(now);
     }
 
@@ -87,8 +130,7 @@
      * @param server the backend server
      * @return {@code true} if it is neither leaving nor full
      */
-    private static boolean unlessEjected(ServerState server) {
-        return server.leaving() == LeavingCause.NONE
-                && server.ownInFlight() < server.server().slots();
+    private boolean unlessEjected(ServerState server) {
+        return server != reserved && server.leaving() == LeavingCause.NONE && policy.admits(server, candidates);
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegister.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegister.java
@@ -8,6 +8,7 @@
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.measure.ProbeBudget;
 import org.chivecourse.state.server.LeavingCause;
 import org.chivecourse.state.server.ServerState;
 
@@ -23,6 +24,18 @@
     /** The backend servers by address. */
     private final Map<String, ServerState> servers = new LinkedHashMap<>();
 
+    /** The largest number of hosts that may probe at the same time. */
+    private final int hosts;
+
+    /**
+     * Creates a register without services.
+     *
+     * @param hosts the largest number of hosts that may probe at the same time
+     */
+    public ServiceRegister(int hosts) {
+        this.hosts = hosts;
+    }
+
     /**
      * Puts a configuration in force.
      *
@@ -34,7 +47,7 @@
         for (Service service : changed.services()) {
             ServiceState state = services.get(service.name());
             if (state == null) {
-                state = new ServiceState(service, servers, now);
+                state = new ServiceState(service, servers, now, new ProbeBudget(hosts, now));
             } else {
                 state.reconfigure(service, now);
             }
@@ -94,6 +107,32 @@
                 new Decision.Change(Decision.Subject.SERVER_LEAVING, address, from, to, cause.toString(), revision));
     }
 
+    /**
+     * Returns a backend server.
+     *
+     * @param address the address
+     * @return the backend server, or {@code null} if the configuration in force does not name it
+     */
+    public ServerState server(String address) {
+        return servers.get(address);
+    }
+
+    /**
+     * Returns the service of a backend server.
+     *
+     * @param address the address
+     * @return the service, or {@code null} if the configuration in force does not name the address
+     */
+    public ServiceState serviceOf(String address) {
+        ServerState server = servers.get(address);
+        for (ServiceState service : services.values()) {
+            if (server != null && service.servers().contains(server)) {
+                return service;
+            }
+        }
+        return null;
+    }
+
     /**
      * Returns the configuration in force.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -6,7 +6,10 @@
 import java.util.Map;
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.hedge.HedgeSchedule;
 import org.chivecourse.coordination.limit.WaitingCalls;
+import org.chivecourse.coordination.measure.ProbeBudget;
+import org.chivecourse.coordination.poison.Quarantine;
 import org.chivecourse.coordination.retry.RetryBudget;
 import org.chivecourse.state.server.ServerState;
 
@@ -25,6 +28,15 @@
     /** The budget of repeated requests. */
     private final RetryBudget retries;
 
+    /** The calls that get a second copy unless they are answered within the usual time. */
+    private final HedgeSchedule hedges = new HedgeSchedule();
+
+    /** The suspects. */
+    private final Quarantine quarantine = new Quarantine();
+
+    /** This host's share of the measuring budget. */
+    private final ProbeBudget probes;
+
     /** The number of choices of a backend server. */
     private long turns;
 
@@ -34,12 +46,14 @@
      * @param service the service as configured
      * @param known the backend servers that the host knows already, by address
      * @param now the time in nanoseconds
+     * @param probes this host's share of the measuring budget
      */
-    ServiceState(Service service, Map<String, ServerState> known, long now) {
+    ServiceState(Service service, Map<String, ServerState> known, long now, ProbeBudget probes) {
+        this.probes = probes;
         this.service = service;
         waiting = new WaitingCalls(service.limits().queueLimit());
         retries = new RetryBudget(service.limits().retryBudgetPercent());
-        takeServers(known, now);
+        takeServers(known, now, true);
     }
 
     /**
@@ -54,7 +68,7 @@
         retries.percent(changed.limits().retryBudgetPercent());
         Map<String, ServerState> known = new HashMap<>();
         servers.forEach(server -> known.put(server.address(), server));
-        takeServers(known, now);
+        takeServers(known, now, false);
     }
 
     /**
@@ -62,13 +76,14 @@
      *
      * @param known the backend servers known so far, by address
      * @param now the time in nanoseconds
+     * @param warm whether new backend servers count as warm
      */
-    private void takeServers(Map<String, ServerState> known, long now) {
+    private void takeServers(Map<String, ServerState> known, long now, boolean warm) {
         List<ServerState> next = new ArrayList<>(service.backendServers().size());
         for (BackendServer server : service.backendServers()) {
             ServerState state = known.get(server.address());
             if (state == null) {
-                state = new ServerState(server, now);
+                state = new ServerState(server, now, warm);
             } else {
                 state.reconfigure(server);
             }
@@ -113,6 +128,46 @@
         return retries;
     }
 
+    /**
+     * Returns the calls that get a second copy unless they are answered within the usual time.
+     *
+     * @return the schedule
+     */
+    HedgeSchedule hedges() {
+        return hedges;
+    }
+
+    /**
+     * Returns the suspects.
+     *
+     * @return the quarantine
+     */
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
+    /**
+     * Returns this host's share of the measuring budget.
+     *
+     * @return the budget
+     */
+    public ProbeBudget probes() {
+        return probes;
+    }
+
+    /**
+     * Returns the number of slots of all backend servers.
+     *
+     * @return the number of slots
+     */
+    public int slots() {
+        int slots = 0;
+        for (ServerState server : servers) {
+            slots += server.server().slots();
+        }
+        return slots;
+    }
+
     /**
      * Counts a choice of a backend server.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/TermsOfCalls.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/TermsOfCalls.java
@@ -13,7 +13,8 @@
     private TermsOfCalls() {}
 
     /**
-     * Returns the terms of an arrival.
+     * Returns the terms of an arrival; only the outermost gateway of a chain of calls repeats requests, so that
+     * repetitions do not multiply along the chain.
      *
      * @param service the service
      * @param arrival what is known of the request
@@ -24,13 +25,14 @@
         Optional<Route> route = service.routeFor(arrival.method(), arrival.path());
         boolean idempotent = route.map(known -> known.idempotency().covers(arrival.method()))
                 .orElse(arrival.method().idempotent());
+        boolean outermost = arrival.depth() == 0;
         return new CallTerms(
                 service.name(),
                 arrival.method(),
                 arrival.path(),
                 idempotent,
-                route.map(Route::attempts).orElse(1),
-                route.map(Route::hedged).orElse(false),
+                outermost ? route.map(Route::attempts).orElse(1) : 1,
+                outermost && route.map(Route::hedged).orElse(false),
                 arrival.replayable(),
                 arrival.key(),
                 arrival.fingerprint(),
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
@@ -16,19 +16,36 @@
     /** The time of the choice in nanoseconds. */
     private long now;
 
+    /** The average number of other hosts' requests at the service's backend servers. */
+    private double othersOnAverage;
+
     /**
-     * Collects the backend servers that may be chosen.
+     * Starts a choice without candidates.
      *
      * @param all the backend servers of the service
-     * @param eligible whether a backend server may be chosen
      * @param time the time of the choice in nanoseconds
      */
-    public void collect(List<ServerState> all, Predicate<ServerState> eligible, long time) {
+    public void begin(List<ServerState> all, long time) {
         if (servers.length < all.size()) {
             servers = new ServerState[all.size()];
         }
-        size = 0;
         now = time;
+        int others = 0;
+        for (int index = 0; index < all.size(); index++) {
+            others += all.get(index).othersInFlight();
+        }
+        othersOnAverage = all.isEmpty() ? 0 : (double) others / all.size();
+        size = 0;
+    }
+
+    /**
+     * Collects the backend servers that may be chosen.
+     *
+     * @param all the backend servers of the service
+     * @param eligible whether a backend server may be chosen
+     */
+    public void collect(List<ServerState> all, Predicate<ServerState> eligible) {
+        size = 0;
         for (int index = 0; index < all.size(); index++) {
             ServerState server = all.get(index);
             if (eligible.test(server)) {
@@ -37,6 +54,26 @@
         }
     }
 
+    /**
+     * Returns the estimated number of requests in flight at a backend server over all hosts.
+     *
+     * @param server the backend server
+     * @return the number of requests
+     */
+    public double inFlight(ServerState server) {
+        return WaitEstimate.inFlight(server, othersOnAverage, now);
+    }
+
+    /**
+     * Returns the estimated time that a request would take.
+     *
+     * @param index the place of a candidate, less than {@link #size()}
+     * @return the time in nanoseconds
+     */
+    double estimate(int index) {
+        return WaitEstimate.nanoseconds(servers[index], othersOnAverage, now);
+    }
+
     /**
      * Returns the number of backend servers that may be chosen.
      *
@@ -55,13 +92,4 @@
     public ServerState get(int index) {
         return servers[index];
     }
-
-    /**
-     * Returns the time of the choice.
-     *
-     * @return the time in nanoseconds
-     */
-    public long now() {
-        return now;
-    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
@@ -45,8 +45,48 @@
             ServerState second = candidates.get(random.nextInt(candidates.size()));
             return second.ownInFlight() < first.ownInFlight() ? second : first;
         }
+    },
+
+    /** Chooses the candidate with the least estimated time among some that are drawn at random. */
+    LEAST_ESTIMATE {
+        @Override
+        public ServerState choose(Candidates candidates, long turn, RandomGenerator random) {
+            int drawn = Math.min(candidates.size(), LARGEST_DRAW);
+            int start = random.nextInt(candidates.size());
+            int stride = candidates.size() <= LARGEST_DRAW ? 1 : candidates.size() / LARGEST_DRAW;
+            int best = start;
+            double least = candidates.estimate(start);
+            for (int count = 1; count < drawn; count++) {
+                int index = (start + count * stride) % candidates.size();
+                double estimate = candidates.estimate(index);
+                if (estimate < least) {
+                    least = estimate;
+                    best = index;
+                }
+            }
+            return candidates.get(best);
+        }
+
+        @Override
+        public boolean admits(ServerState server, Candidates candidates) {
+            return server.ownInFlight() == 0 || candidates.inFlight(server) < server.limit();
+        }
     };
 
+    /** The largest number of candidates that are compared. */
+    private static final int LARGEST_DRAW = 24;
+
+    /**
+     * Returns whether a backend server has room for one more request.
+     *
+     * @param server the backend server
+     * @param candidates the present choice
+     * @return {@code true} if a request may be sent to it now
+     */
+    public boolean admits(ServerState server, Candidates candidates) {
+        return server.ownInFlight() < server.server().slots();
+    }
+
     /**
      * Chooses a candidate.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -53,6 +53,27 @@
      */
     record Refuse(long call, Refusal refusal) implements Decision {}
 
+    /**
+     * Look at a backend server's health endpoint and report what it says.
+     *
+     * @param address the address of the backend server
+     */
+    record CheckHealth(String address) implements Decision {}
+
+    /**
+     * Connect to a backend server for a probe of its load and report when the connection is ready.
+     *
+     * @param address the address of the backend server
+     */
+    record Probe(String address) implements Decision {}
+
+    /**
+     * Send the probe whose connection is ready.
+     *
+     * @param address the address of the backend server
+     */
+    record SendProbe(String address) implements Decision {}
+
     /**
      * Use a configuration from now on.
      *
@@ -97,6 +118,9 @@
         SERVER_LEAVING,
 
         /** Whether a backend server is ejected. */
-        SERVER_EJECTED
+        SERVER_EJECTED,
+
+        /** Whether a request is refused because it crashes backend servers. */
+        REQUEST_CONVICTED
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -23,6 +23,9 @@
     /** As many requests wait as may wait. */
     QUEUE_FULL(503, "too many requests wait for the service"),
 
+    /** The request keeps coinciding with crashes of backend servers. */
+    CONVICTED(422, "the request keeps coinciding with crashes of backend servers"),
+
     /** The deadline would pass before a backend server is free. */
     DEADLINE_UNREACHABLE(503, "the deadline would pass before a backend server is free"),
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/ejection/Ejection.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/ejection/Ejection.java
@@ -1,10 +1,11 @@
 package org.chivecourse.coordination.ejection;
 
+import java.util.List;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.state.server.ServerState;
 
-/** Excludes a backend server for a time after several failures in a row. */
+/** Excludes a failing backend server for a time, and never more than a share of a service's backend servers. */
 public enum Ejection {
     /** The only instance. */
     INSTANCE;
@@ -12,23 +13,35 @@
     /** The number of failures in a row after which a backend server is ejected. */
     public static final int FAILURES = 5;
 
-    /** The time for which a backend server is ejected, in nanoseconds. */
-    public static final long NANOSECONDS = 2_000_000_000L;
+    /** The time for which a backend server is ejected at first, in nanoseconds. */
+    public static final long NANOSECONDS = 1_000_000_000L;
+
+    /** The largest number of doublings of that time. */
+    private static final int LARGEST_DOUBLINGS = 5;
+
+    /** One in so many backend servers of a service may be ejected. */
+    private static final int FLOOR_DIVISOR = 3;
 
     /**
      * Records a failure and ejects the backend server if it was one too many.
      *
      * @param server the backend server
+     * @param all the backend servers of the service
      * @param reason what happened
      * @param now the time in nanoseconds
      * @param revision the revision in force
      * @param sink receives the change
      */
-    public void failed(ServerState server, String reason, long now, long revision, DecisionSink sink) {
+    public void failed(
+            ServerState server, List<ServerState> all, String reason, long now, long revision, DecisionSink sink) {
         if (server.fail() < FAILURES || server.ejected(now)) {
             return;
         }
-        server.eject(now + NANOSECONDS);
+        long ejected = all.stream().filter(other -> other.ejected(now)).count();
+        if (ejected >= all.size() / FLOOR_DIVISOR) {
+            return;
+        }
+        server.eject(now + (NANOSECONDS << Math.min(server.ejections(), LARGEST_DOUBLINGS)));
         sink.decide(new Decision.Audit(new Decision.Change(
                 Decision.Subject.SERVER_EJECTED, server.address(), "in use", "ejected", reason, revision)));
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
@@ -1,7 +1,7 @@
 package org.chivecourse.coordination.event;
 
 import org.chivecourse.configuration.format.ReadConfiguration;
-import org.chivecourse.state.server.LeavingCause;
+import org.chivecourse.coordination.health.HealthAnswer;
 import org.chivecourse.state.server.LoadReport;
 
 /** Something that happened to a host. */
@@ -82,19 +82,29 @@
     record TimePassed() implements Event {}
 
     /**
-     * A backend server was found to be leaving.
+     * A look at a backend server's health endpoint ended.
      *
      * @param address the address of the backend server
-     * @param cause how the host learnt of it
+     * @param answer what the look found
      */
-    record ServerLeaving(String address, LeavingCause cause) implements Event {}
+    record HealthChecked(String address, HealthAnswer answer) implements Event {}
 
     /**
-     * A backend server that was leaving was found to stay.
+     * The connection for a probe is ready; answered by {@code SendProbe} or not at all.
      *
      * @param address the address of the backend server
      */
-    record ServerStaying(String address) implements Event {}
+    record ProbeReady(String address) implements Event {}
+
+    /**
+     * A probe ended.
+     *
+     * @param address the address of the backend server
+     * @param sent whether the probe was sent
+     * @param report the load that the backend server states, {@code null} if it states none
+     * @param nanoseconds the time since the probe was sent, zero if it failed
+     */
+    record ProbeEnded(String address, boolean sent, LoadReport report, long nanoseconds) implements Event {}
 
     /**
      * What the header of an answer says.
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/health/package-info.java
@@ -0,0 +1,2 @@
+/** The watch of backend servers' health endpoints. */
+package org.chivecourse.coordination.health;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/hedge/UsualTime.java
@@ -0,0 +1,45 @@
+package org.chivecourse.coordination.hedge;
+
+/** A running estimate of the time that all but a small share of answers take. */
+public final class UsualTime {
+
+    /** The share of answers that take at most the estimated time. */
+    private static final double SHARE = 0.95;
+
+    /** The step of the estimate as a share of the average time. */
+    private static final double STEP = 0.05;
+
+    /** The weight of a new time in the average. */
+    private static final double AVERAGE_WEIGHT = 0.02;
+
+    /** The average time in nanoseconds. */
+    private double average;
+
+    /** The estimate in nanoseconds. */
+    private double estimate;
+
+    /**
+     * Takes a time into account.
+     *
+     * @param nanoseconds the time of an answer
+     */
+    public void record(long nanoseconds) {
+        if (average == 0) {
+            average = nanoseconds;
+            estimate = 2.0 * nanoseconds;
+            return;
+        }
+        average += AVERAGE_WEIGHT * (nanoseconds - average);
+        double direction = nanoseconds > estimate ? SHARE : SHARE - 1;
+        estimate = Math.max(0, estimate + STEP * average * direction);
+    }
+
+    /**
+     * Returns the estimate.
+     *
+     * @return the time in nanoseconds, zero before the first answer
+     */
+    public long nanoseconds() {
+        return (long) estimate;
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -8,6 +8,7 @@
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.poison.PoisonRegister;
 
 /**
  * The entry to a host's decisions.
@@ -29,6 +30,9 @@
     /** The calls. */
     private final CallCoordinator calls;
 
+    /** The watch of backend servers beyond the calls sent to them. */
+    private final ServerWatch serverWatch;
+
     /**
      * Creates a core without a configuration.
      *
@@ -36,8 +40,9 @@
      * @param random the source of randomness
      */
     public HostCore(HostSettings settings, RandomGenerator random) {
-        services = new ServiceRegister();
+        services = new ServiceRegister(settings.expectedHosts());
         calls = new CallCoordinator(settings, services, random);
+        serverWatch = new ServerWatch(services);
     }
 
     /**
@@ -64,6 +69,7 @@
             calls.callerLeft(left.call(), now, sink);
         } else if (event instanceof Event.TimePassed) {
             calls.timePassed(now, sink);
+            serverWatch.timePassed(now, sink);
         } else {
             handleKnowledge(event, now, sink);
         }
@@ -81,11 +87,13 @@
             configurationRead(read, now, sink);
         } else if (event instanceof Event.ConfigurationRejected rejected) {
             configurationRejected(rejected, sink);
-        } else if (event instanceof Event.ServerLeaving leaving) {
-            services.leave(leaving.address(), leaving.cause(), configurations.revision(), sink);
-        } else if (event instanceof Event.ServerStaying staying) {
-            services.stay(staying.address(), configurations.revision(), sink);
+        } else if (event instanceof Event.HealthChecked checked) {
+            serverWatch.healthChecked(checked, now, sink);
             calls.capacityChanged(now, sink);
+        } else if (event instanceof Event.ProbeReady ready) {
+            serverWatch.probeReady(ready.address(), now, sink);
+        } else if (event instanceof Event.ProbeEnded ended) {
+            serverWatch.probeEnded(ended, now);
         }
     }
 
@@ -162,6 +170,15 @@
         return services;
     }
 
+    /**
+     * Returns the requests that crash backend servers.
+     *
+     * @return the register
+     */
+    public PoisonRegister poison() {
+        return calls.poison();
+    }
+
     /**
      * Returns the number of calls that have no final answer yet.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
@@ -7,7 +7,8 @@
  *
  * @param name the name of the host
  * @param dataCentre the name of the data centre that the host stands in
+ * @param expectedHosts the largest number of hosts that may run gateways at the same time
  * @param policy the way to choose a backend server
  * @param largestCalls the number of calls that the host holds at the same time
  */
-public record HostSettings(String name, String dataCentre, ChoicePolicy policy, int largestCalls) {}
+public record HostSettings(String name, String dataCentre, int expectedHosts, ChoicePolicy policy, int largestCalls) {}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerWatch.java
@@ -0,0 +1,119 @@
+package org.chivecourse.coordination.host;
+
+import org.chivecourse.coordination.call.ServiceRegister;
+import org.chivecourse.coordination.call.ServiceState;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.health.HealthWatch;
+import org.chivecourse.coordination.measure.ProbeTarget;
+import org.chivecourse.state.server.LeavingCause;
+import org.chivecourse.state.server.ServerState;
+
+/** Watches backend servers beyond the calls sent to them: by their health endpoints and by probes of their load. */
+final class ServerWatch {
+
+    /** The services of the configuration in force. */
+    private final ServiceRegister services;
+
+    /** The watch of health endpoints. */
+    private final HealthWatch health = new HealthWatch();
+
+    /**
+     * Creates a watch.
+     *
+     * @param services the services of the configuration in force
+     */
+    ServerWatch(ServiceRegister services) {
+        this.services = services;
+    }
+
+    /**
+     * Starts the looks and probes that are due.
+     *
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    void timePassed(long now, DecisionSink sink) {
+        for (ServiceState service : services.all()) {
+            for (ServerState server : service.servers()) {
+                if (health.look(server, now)) {
+                    sink.decide(new Decision.CheckHealth(server.address()));
+                }
+            }
+            probe(service, now, sink);
+        }
+    }
+
+    /**
+     * Starts a probe if the budget allows one and a backend server is worth it.
+     *
+     * @param service the service
+     * @param now the time in nanoseconds
+     * @param sink receives the decision
+     */
+    private static void probe(ServiceState service, long now, DecisionSink sink) {
+        if (!service.probes().allows(service.service().measuring(), service.slots(), now)) {
+            return;
+        }
+        ServerState target = ProbeTarget.choose(service.servers(), now);
+        if (target != null) {
+            sink.decide(new Decision.Probe(target.address()));
+        }
+    }
+
+    /**
+     * Decides, as the last step before a probe is sent, whether the budget still allows it.
+     *
+     * @param address the address of the backend server
+     * @param now the time in nanoseconds
+     * @param sink receives the decision
+     */
+    void probeReady(String address, long now, DecisionSink sink) {
+        ServiceState service = services.serviceOf(address);
+        if (service != null && service.probes().spend(service.service().measuring(), service.slots(), now)) {
+            sink.decide(new Decision.SendProbe(address));
+        }
+    }
+
+    /**
+     * Takes the end of a probe.
+     *
+     * @param ended the probe
+     * @param now the time in nanoseconds
+     */
+    void probeEnded(Event.ProbeEnded ended, long now) {
+        ServiceState service = services.serviceOf(ended.address());
+        if (service == null) {
+            return;
+        }
+        if (ended.sent()) {
+            service.probes().end(now, ended.nanoseconds());
+        }
+        if (ended.report() != null) {
+            services.server(ended.address()).report(ended.report(), now);
+        }
+    }
+
+    /**
+     * Takes the answer of a look at a health endpoint.
+     *
+     * @param checked the look
+     * @param now the time in nanoseconds
+     * @param sink receives the changes
+     */
+    void healthChecked(Event.HealthChecked checked, long now, DecisionSink sink) {
+        ServerState server = services.server(checked.address());
+        if (server == null) {
+            return;
+        }
+        long revision = services.configuration().revision();
+        switch (health.answered(server, checked.answer(), now)) {
+            case LEAVES -> services.leave(checked.address(), LeavingCause.HEALTH, revision, sink);
+            case STAYS -> services.stay(checked.address(), revision, sink);
+            default -> {
+                return;
+            }
+        }
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/WaitingCalls.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/WaitingCalls.java
@@ -1,19 +1,13 @@
 package org.chivecourse.coordination.limit;
 
-import java.util.Comparator;
 import java.util.TreeSet;
 import org.chivecourse.state.call.CallState;
 
 /** The calls of a service that wait for a backend server, the nearest deadline first. */
 public final class WaitingCalls {
 
-    /** The order in which calls leave: nearest deadline first, and in order of arrival among equals. */
-    private static final Comparator<CallState> ORDER = Comparator.<CallState>comparingLong(
-                    call -> call.terms().deadline())
-            .thenComparingLong(CallState::identifier);
-
     /** The waiting calls. */
-    private final TreeSet<CallState> calls = new TreeSet<>(ORDER);
+    private final TreeSet<CallState> calls = new TreeSet<>(CallState.BY_DEADLINE);
 
     /** The largest number of waiting calls. */
     private int limit;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/package-info.java
@@ -0,0 +1,2 @@
+/** The recognition of requests that crash each backend server that runs them. */
+package org.chivecourse.coordination.poison;
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/AttemptState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/AttemptState.java
@@ -14,6 +14,12 @@
     /** The backend server. */
     private final ServerState server;
 
+    /** The estimated number of requests in flight at the backend server at the start, this one included. */
+    private final double inFlight;
+
+    /** The time of the start in nanoseconds. */
+    private final long begunAt;
+
     /** What is known of the attempt's effect. */
     private Evidence evidence = Evidence.NOT_SENT;
 
@@ -29,11 +35,16 @@
      * @param identifier the identifier of the attempt
      * @param call the call
      * @param server the backend server
+     * @param inFlight the estimated number of requests in flight at the backend server, this one included
+     * @param begunAt the time of the start in nanoseconds
      */
-    public AttemptState(long identifier, CallState call, ServerState server) {
+    public AttemptState(long identifier, CallState call, ServerState server, double inFlight, long begunAt) {
         this.identifier = identifier;
         this.call = call;
         this.server = server;
+        this.inFlight = inFlight;
+        this.begunAt = begunAt;
+        server.begin(begunAt);
     }
 
     /**
@@ -63,7 +74,7 @@
             return false;
         }
         ended = true;
-        server.end();
+        server.end(begunAt);
         return true;
     }
 
@@ -94,6 +105,15 @@
         return server;
     }
 
+    /**
+     * Returns the estimated number of requests in flight at the backend server at the start.
+     *
+     * @return the number of requests, this one included
+     */
+    public double inFlight() {
+        return inFlight;
+    }
+
     /**
      * Returns what is known of the attempt's effect.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/CallState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/CallState.java
@@ -1,12 +1,18 @@
 package org.chivecourse.state.call;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.chivecourse.state.server.ServerState;
 
 /** A call that a host has accepted. */
 public final class CallState {
 
+    /** The order of calls by deadline, and by arrival among equals. */
+    public static final Comparator<CallState> BY_DEADLINE = Comparator.<CallState>comparingLong(
+                    call -> call.terms.deadline())
+            .thenComparingLong(call -> call.identifier);
+
     /** The identifier of the call, unique on the host. */
     private final long identifier;
 
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -6,17 +6,38 @@
 /** What one host knows of a backend server; times are in nanoseconds of the host's monotonic clock. */
 public final class ServerState {
 
+    /** The time after which a backend server counts as warm in any case. */
+    private static final long WARM_NANOSECONDS = 60_000_000_000L;
+
     /** The weight of a new value in the moving averages. */
     private static final double AVERAGE_WEIGHT = 0.2;
 
+    /** The largest limit of requests in flight as a multiple of the slots. */
+    private static final double LARGEST_LIMIT_FACTOR = 2;
+
+    /** The growth of the limit with each answer, in requests. */
+    private static final double LIMIT_STEP = 0.05;
+
+    /** The factor by which a refusal reduces the limit. */
+    private static final double LIMIT_REDUCTION = 0.7;
+
     /** The backend server as configured. */
     private BackendServer server;
 
-    /** The number of requests that this host has sent and not seen end. */
-    private int ownInFlight;
+    /** The times at which this host's open requests were begun, the oldest first. */
+    private final LongQueue open = new LongQueue();
+
+    /** The moving average of the time that a request takes without waiting, zero before the first answer. */
+    private double serviceNanoseconds;
+
+    /** The moving average of the share of failed requests. */
+    private double failureShare;
 
-    /** The moving average of the time to the start of an answer, zero before the first. */
-    private double responseNanoseconds;
+    /** The largest number of requests in flight, over all hosts, that this host adds to. */
+    private double limit;
+
+    /** The number of times that the backend server was ejected since it last worked well. */
+    private int ejections;
 
     /** The number of other hosts' requests in the last report. */
     private int othersInFlight;
@@ -36,6 +57,9 @@
     /** Whether the backend server is ejected or was and has not succeeded since. */
     private boolean ejected;
 
+    /** The time at which the host learnt of the backend server. */
+    private final long learntAt;
+
     /** The time at which the backend server was first seen or came back. */
     private long startedAt;
 
@@ -53,10 +77,13 @@
      *
      * @param server the backend server as configured
      * @param now the time
+     * @param warm whether the backend server counts as warm
      */
-    public ServerState(BackendServer server, long now) {
+    public ServerState(BackendServer server, long now, boolean warm) {
         this.server = server;
-        startedAt = now;
+        learntAt = now;
+        startedAt = warm ? now - WARM_NANOSECONDS : now;
+        limit = server.slots();
         leaving = server.mode() == ServerMode.LEAVING ? LeavingCause.CONFIGURATION : LeavingCause.NONE;
     }
 
@@ -78,30 +105,45 @@
 
     /**
      * Records that a request is about to be sent.
+     *
+     * @param now the time
      */
-    public void begin() {
-        ownInFlight++;
+    public void begin(long now) {
+        open.add(now);
         sent++;
     }
 
     /**
      * Records that a request ended in any way.
+     *
+     * @param begunAt the time that {@link #begin} was given for it
      */
-    public void end() {
-        ownInFlight--;
+    public void end(long begunAt) {
+        open.remove(begunAt);
     }
 
     /**
-     * Records the start of an answer.
+     * Records the start of an answer that is no failure.
      *
      * @param nanoseconds the time since the request was sent
+     * @param inFlight the estimated number of requests in flight when it was sent, itself included
      */
-    public void responded(long nanoseconds) {
-        responseNanoseconds = responseNanoseconds == 0
-                ? nanoseconds
-                : responseNanoseconds + AVERAGE_WEIGHT * (nanoseconds - responseNanoseconds);
+    public void responded(long nanoseconds, double inFlight) {
+        double alone = nanoseconds / Math.max(1, inFlight / server.slots());
+        serviceNanoseconds =
+                serviceNanoseconds == 0 ? alone : serviceNanoseconds + AVERAGE_WEIGHT * (alone - serviceNanoseconds);
+        failureShare -= AVERAGE_WEIGHT * failureShare;
+        limit = Math.min(LARGEST_LIMIT_FACTOR * server.slots(), limit + LIMIT_STEP);
         failuresInRow = 0;
         ejected = false;
+        ejections = 0;
+    }
+
+    /**
+     * Records that the backend server refused a request.
+     */
+    public void refused() {
+        limit = Math.max(1, limit * LIMIT_REDUCTION);
     }
 
     /**
@@ -111,7 +153,7 @@
      * @param now the time
      */
     public void report(LoadReport report, long now) {
-        othersInFlight = Math.max(0, report.inFlight() - ownInFlight);
+        othersInFlight = Math.max(0, report.inFlight() - open.size());
         reportedAt = now;
         reported = true;
     }
@@ -124,6 +166,7 @@
     public int fail() {
         failed++;
         failuresInRow++;
+        failureShare += AVERAGE_WEIGHT * (1 - failureShare);
         return failuresInRow;
     }
 
@@ -136,6 +179,7 @@
         ejectedUntil = until;
         startedAt = until;
         ejected = true;
+        ejections++;
     }
 
     /**
@@ -189,16 +233,53 @@
      * @return the number of requests
      */
     public int ownInFlight() {
-        return ownInFlight;
+        return open.size();
     }
 
     /**
-     * Returns the moving average of the time to the start of an answer.
+     * Returns how long the oldest open request of this host has been open.
+     *
+     * @param now the time
+     * @return the time in nanoseconds, zero if none is open
+     */
+    public long oldestOpen(long now) {
+        return open.size() == 0 ? 0 : now - open.first();
+    }
+
+    /**
+     * Returns the moving average of the time that a request takes without waiting.
      *
      * @return the time in nanoseconds, zero before the first answer
      */
-    public double responseNanoseconds() {
-        return responseNanoseconds;
+    public double serviceNanoseconds() {
+        return serviceNanoseconds;
+    }
+
+    /**
+     * Returns the moving average of the share of failed requests.
+     *
+     * @return the share from zero to one
+     */
+    public double failureShare() {
+        return failureShare;
+    }
+
+    /**
+     * Returns the largest number of requests in flight, over all hosts, that this host adds to.
+     *
+     * @return the number of requests
+     */
+    public double limit() {
+        return limit;
+    }
+
+    /**
+     * Returns the number of times that the backend server was ejected since it last worked well.
+     *
+     * @return the number of ejections
+     */
+    public int ejections() {
+        return ejections;
     }
 
     /**
@@ -247,6 +328,15 @@
         return startedAt;
     }
 
+    /**
+     * Returns the time at which the host learnt of the backend server.
+     *
+     * @return the time
+     */
+    public long learntAt() {
+        return learntAt;
+    }
+
     /**
      * Returns how the host learnt that the backend server is leaving.
      *
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/CoreHarness.java
@@ -0,0 +1,143 @@
+package org.chivecourse.coordination.host;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.chivecourse.configuration.format.ConfigurationReader;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.RefusalSignal;
+import org.chivecourse.configuration.model.Route;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.protocol.trace.Trace;
+import org.chivecourse.protocol.trace.TraceRecorder;
+
+/** Drives a decision core on virtual time and records its trace. */
+public final class CoreHarness {
+
+    public static final long MILLISECOND = 1_000_000;
+
+    private static final int TRACE_STEPS = 100_000;
+
+    private final HostCore core;
+
+    private final TraceRecorder recorder;
+
+    private long now = 1_000 * MILLISECOND;
+
+    private long lastCall;
+
+    private List<Decision> last = List.of();
+
+    public CoreHarness(ChoicePolicy policy, long seed) {
+        HostSettings settings = new HostSettings("host-1", "si-a", 2, policy, 1000);
+        core = new HostCore(settings, new SplittableRandom(seed));
+        recorder = new TraceRecorder(settings, seed, TRACE_STEPS);
+    }
+
+    public static CoreHarness with(Service service) {
+        CoreHarness harness = new CoreHarness(ChoicePolicy.LEAST_ESTIMATE, 1);
+        harness.configure(1, service);
+        return harness;
+    }
+
+    /** A service of some servers with one slot each; lookups may be sent three times, orders once. */
+    public static Service jobs(int servers) {
+        Service service = Service.named("jobs")
+                .refusal(new RefusalSignal(503, "Refused", "yes"))
+                .route(Route.of("/jobs/lookups", Method.GET).attempts(3).hedging())
+                .route(Route.of("/jobs/orders", Method.POST));
+        for (int index = 1; index <= servers; index++) {
+            service = service.backendServer(
+                    BackendServer.at("10.0.0." + index + ":80").in("si-a").slots(1));
+        }
+        return service;
+    }
+
+    public List<Decision> configure(long revision, Service service) {
+        String text = new ConfigurationWriter()
+                .printUnchecked(Configuration.revision(revision).service(service));
+        try {
+            return handle(new Event.ConfigurationRead(new ConfigurationReader().read("test", text), "test"));
+        } catch (Exception exception) {
+            throw new AssertionError(exception);
+        }
+    }
+
+    public List<Decision> handle(Event event) {
+        List<Decision> decisions = new ArrayList<>();
+        core.handle(event, now, decisions::add);
+        recorder.record(now, event, decisions);
+        last = decisions;
+        return decisions;
+    }
+
+    /** Lets time pass with a tick every five milliseconds. */
+    public List<Decision> pass(long milliseconds) {
+        List<Decision> all = new ArrayList<>();
+        for (long passed = 0; passed < milliseconds; passed += 5) {
+            now += 5 * MILLISECOND;
+            all.addAll(handle(new Event.TimePassed()));
+        }
+        last = all;
+        return all;
+    }
+
+    public long arrive(Method method, String path) {
+        return arrive(new Arrival(method, path, 0, 0, true, "", path.hashCode()));
+    }
+
+    public long arrive(Arrival arrival) {
+        handle(new Event.CallArrived(++lastCall, arrival));
+        return lastCall;
+    }
+
+    /** Returns the only decision of a type among the last ones. */
+    public <T extends Decision> T one(Class<T> type) {
+        List<T> found = all(type);
+        if (found.size() != 1) {
+            throw new AssertionError("expected one " + type.getSimpleName() + " in " + last);
+        }
+        return found.get(0);
+    }
+
+    public <T extends Decision> List<T> all(Class<T> type) {
+        return last.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    /** Connects an attempt and returns whether the core let it proceed. */
+    public boolean connect(Decision.Send send) {
+        handle(new Event.AttemptReady(send.attempt()));
+        return !all(Decision.Proceed.class).isEmpty();
+    }
+
+    public List<Decision> answer(Decision.Send send, int status) {
+        return handle(new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(status, false, false, null)));
+    }
+
+    public List<Decision> refuse(Decision.Send send) {
+        return handle(new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(503, true, false, null)));
+    }
+
+    public List<Decision> breakOff(Decision.Send send) {
+        return handle(new Event.AttemptBroken(send.attempt(), "reset"));
+    }
+
+    public HostCore core() {
+        return core;
+    }
+
+    public long now() {
+        return now;
+    }
+
+    public Trace trace() {
+        return recorder.trace();
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
@@ -0,0 +1,148 @@
+package org.chivecourse.coordination.host;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.Reason;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.poison.PoisonRegister;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FailingServersTest {
+
+    @Nested
+    class Ejections {
+
+        @Test
+        void aServerThatFailsFastDrawsNoTraffic() {
+            CoreHarness harness = CoreHarness.with(CoreHarness.jobs(4));
+            int toFailing = 0;
+            for (int call = 0; call < 200; call++) {
+                harness.arrive(new Arrival(Method.GET, "/jobs/lookups/1", 0, 0, true, "", call));
+                Decision.Send send = harness.one(Decision.Send.class);
+                harness.connect(send);
+                boolean failing = send.address().equals("10.0.0.1:80");
+                toFailing += failing ? 1 : 0;
+                harness.pass(failing ? 0 : 10);
+                harness.answer(send, failing ? 500 : 200);
+                harness.handle(new Event.AnswerCompleted(send.attempt()));
+            }
+            assertThat(toFailing, lessThanOrEqualTo(20));
+        }
+
+        @Test
+        void neverMoreThanAThirdOfTheServersIsEjected() {
+            CoreHarness harness = CoreHarness.with(CoreHarness.jobs(6));
+            Set<String> ejected = new HashSet<>();
+            for (int call = 0; call < 200; call++) {
+                harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", call));
+                Decision.Send send = harness.one(Decision.Send.class);
+                harness.connect(send);
+                harness.answer(send, 500).forEach(decision -> {
+                    if (decision instanceof Decision.Audit audit) {
+                        ejected.add(audit.change().name());
+                    }
+                });
+                harness.handle(new Event.AnswerCompleted(send.attempt()));
+            }
+            assertThat(ejected, hasSize(2));
+        }
+    }
+
+    @Nested
+    class Poison {
+
+        private Decision.Send crash(CoreHarness harness, long fingerprint) {
+            harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", fingerprint));
+            Decision.Send send = harness.one(Decision.Send.class);
+            harness.connect(send);
+            harness.breakOff(send);
+            return send;
+        }
+
+        @Test
+        void aRequestThatCrashesThreeServersIsRefused() {
+            CoreHarness harness = CoreHarness.with(CoreHarness.jobs(14));
+            Set<String> crashed = new HashSet<>();
+            for (int copy = 0; copy < PoisonRegister.SERVERS_TO_CONVICT; copy++) {
+                crashed.add(crash(harness, 99).address());
+                harness.pass(2000);
+            }
+            harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", 99));
+            assertThat(crashed, hasSize(PoisonRegister.SERVERS_TO_CONVICT));
+            assertThat(harness.one(Decision.Refuse.class).refusal().reason(), equalTo(Reason.CONVICTED));
+        }
+
+        @Test
+        void aSuspectRunsWithNoOtherRequestBesideIt() {
+            CoreHarness harness = CoreHarness.with(CoreHarness.jobs(3));
+            crash(harness, 99);
+            harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", 99));
+            Decision.Send suspect = harness.one(Decision.Send.class);
+            harness.connect(suspect);
+            for (int call = 0; call < 10; call++) {
+                harness.arrive(Method.GET, "/jobs/lookups/" + call);
+                harness.all(Decision.Send.class)
+                        .forEach(send -> assertThat(send.address(), not(equalTo(suspect.address()))));
+            }
+        }
+
+        @Test
+        void anAnswerClearsASuspect() {
+            CoreHarness harness = CoreHarness.with(CoreHarness.jobs(6));
+            for (int round = 0; round < 5; round++) {
+                crash(harness, 99);
+                harness.pass(2000);
+                harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", 99));
+                Decision.Send send = harness.one(Decision.Send.class);
+                harness.connect(send);
+                harness.answer(send, 200);
+                harness.handle(new Event.AnswerCompleted(send.attempt()));
+            }
+            assertThat(harness.core().poison().convicted(99, harness.now()), equalTo(false));
+        }
+
+        @Test
+        void innocentRequestsBesideAPoisonedOneAreNotConvicted() {
+            CoreHarness harness = CoreHarness.with(CoreHarness.jobs(14));
+            for (int copy = 0; copy < 5; copy++) {
+                harness.arrive(new Arrival(Method.GET, "/jobs/lookups/innocent", 0, 0, true, "", 1));
+                List<Decision.Send> sends = harness.all(Decision.Send.class);
+                crash(harness, 99 + copy);
+                for (Decision.Send send : sends) {
+                    harness.connect(send);
+                    harness.breakOff(send);
+                    harness.all(Decision.Send.class).forEach(next -> {
+                        harness.connect(next);
+                        harness.answer(next, 200);
+                        harness.handle(new Event.AnswerCompleted(next.attempt()));
+                    });
+                }
+                harness.pass(2000);
+            }
+            assertThat(harness.core().poison().convicted(1, harness.now()), equalTo(false));
+        }
+
+        @Test
+        void theLossOfManyServersAtOnceConvictsNobody() {
+            CoreHarness harness = CoreHarness.with(CoreHarness.jobs(14));
+            for (int copy = 0; copy < 8; copy++) {
+                crash(harness, 7);
+                crash(harness, 1000 + copy);
+                crash(harness, 2000 + copy);
+                crash(harness, 3000 + copy);
+            }
+            assertThat(harness.core().poison().convicted(7, harness.now()), equalTo(false));
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/measure/ProbeBudgetProperties.java
@@ -0,0 +1,100 @@
+package org.chivecourse.coordination.measure;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.chivecourse.configuration.model.MeasuringBudget;
+
+/** The budget of measuring over hosts that restart, pause and know nothing of each other. */
+class ProbeBudgetProperties {
+
+    private static final long MILLISECOND = 1_000_000;
+
+    private static final long SECOND = 1000 * MILLISECOND;
+
+    private static final int SLOTS = 56;
+
+    @Property(tries = 300, seed = "20261204")
+    void noSecondHoldsMoreProbesThanTheBudget(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 14) int hosts,
+            @ForAll @IntRange(min = 0, max = 60) int probesPerSecond) {
+        MeasuringBudget budget = new MeasuringBudget(probesPerSecond, 1000);
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Long> sent = new ArrayList<>();
+        for (int host = 0; host < hosts; host++) {
+            sent.addAll(lifeOfHost(hosts, budget, random.split()));
+        }
+        sent.sort(null);
+        for (int first = 0; first < sent.size(); first++) {
+            int last = first;
+            while (last < sent.size() && sent.get(last) - sent.get(first) < SECOND) {
+                last++;
+            }
+            assertThat(last - first, lessThanOrEqualTo(probesPerSecond));
+        }
+    }
+
+    /** Returns the times at which the processes of one host, one after the other, write probes. */
+    private static List<Long> lifeOfHost(int hosts, MeasuringBudget budget, SplittableRandom random) {
+        List<Long> sent = new ArrayList<>();
+        long now = random.nextLong(SECOND);
+        ProbeBudget own = new ProbeBudget(hosts, now);
+        List<Long> ends = new ArrayList<>();
+        for (int step = 0; step < 400; step++) {
+            now += random.nextLong(40 * MILLISECOND);
+            if (random.nextInt(100) == 0) {
+                own = new ProbeBudget(hosts, now);
+                ends.clear();
+            }
+            while (!ends.isEmpty() && ends.get(0) <= now) {
+                own.end(ends.remove(0), 6 * MILLISECOND);
+            }
+            if (own.spend(budget, SLOTS, now)) {
+                now += random.nextInt(20) == 0 ? random.nextLong(3 * SECOND) : 0;
+                sent.add(now);
+                ends.add(now + random.nextLong(20 * MILLISECOND));
+                ends.sort(null);
+            }
+        }
+        return sent;
+    }
+
+    @Example
+    void aHostWhoseShareIsLessThanOneProbeSendsNone() {
+        ProbeBudget own = new ProbeBudget(14, 0);
+        assertThat(own.spend(new MeasuringBudget(13, 1000), SLOTS, 2 * SECOND), equalTo(false));
+    }
+
+    @Example
+    void aHostSendsItsShare() {
+        ProbeBudget own = new ProbeBudget(14, 0);
+        int sent = 0;
+        for (long now = SECOND; now < 11 * SECOND; now += MILLISECOND) {
+            if (own.spend(new MeasuringBudget(20, 1000), SLOTS, now)) {
+                own.end(now, 0);
+                sent++;
+            }
+        }
+        assertThat(sent, equalTo(10));
+    }
+
+    @Example
+    void theShareOfSlotTimeBoundsTheRate() {
+        ProbeBudget own = new ProbeBudget(1, 0);
+        MeasuringBudget budget = new MeasuringBudget(1000, 5);
+        own.spend(budget, SLOTS, 2 * SECOND);
+        own.end(2 * SECOND, 6 * MILLISECOND);
+        assertThat(own.perSecond(budget, SLOTS), equalTo(46));
+        assertThat(own.sent(), greaterThan(0L));
+    }
+}
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -31,6 +31,7 @@
 import org.chivecourse.transport.http.CallerListener;
 import org.chivecourse.transport.http.ExchangeMetrics;
 import org.chivecourse.transport.http.ExchangeRegister;
+import org.chivecourse.transport.http.ServerLooks;
 import org.chivecourse.transport.platform.PlatformWatch;
 import org.jboss.logging.Logger;
 
@@ -55,6 +56,9 @@
     /** The exchanges with callers. */
     private final ExchangeRegister exchanges;
 
+    /** The looks at backend servers' health and load. */
+    private final ServerLooks looks;
+
     /** The listener for callers. */
     private final CallerListener callers;
 
@@ -111,13 +115,18 @@
         }
         audit = new AuditTrail(settings.name(), clock);
         contacts = new PlatformContacts(clock);
-        HostSettings host =
-                new HostSettings(settings.name(), settings.dataCentre(), settings.choice(), settings.largestCalls());
+        HostSettings host = new HostSettings(
+                settings.name(),
+                settings.dataCentre(),
+                settings.expectedHosts(),
+                settings.choice(),
+                settings.largestCalls());
         recorder = new TraceRecorder(host, seed, settings.traceSteps());
         driver = new CoreDriver(new HostCore(host, new SplittableRandom(seed)), recorder);
         connections = new BackendConnections(settings.expectedHosts(), settings.http(), backendTls::context);
         MetricRegistry metrics = new MetricRegistry();
         exchanges = new ExchangeRegister(driver, connections, new ExchangeMetrics(metrics));
+        looks = new ServerLooks(driver, connections);
         callers = new CallerListener(
                 listening(settings.callers()), settings.http(), callerTls::context, driver, exchanges);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::open);
@@ -188,7 +197,7 @@
      * @param decision the decision
      */
     private void perform(Decision decision) {
-        if (exchanges.perform(decision)) {
+        if (exchanges.perform(decision) || looks.perform(decision)) {
             return;
         }
         if (decision instanceof Decision.Apply apply) {
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -79,7 +79,7 @@
                 addresses(reader, "configuration-service"),
                 addresses(reader, "host-list"),
                 (int) reader.integer("expected-hosts", 1, LARGEST_HOSTS),
-                reader.choice("choice", ChoicePolicy.class, ChoicePolicy.POWER_OF_TWO),
+                reader.choice("choice", ChoicePolicy.class, ChoicePolicy.LEAST_ESTIMATE),
                 reader.has("http") ? http(reader.mapping("http")) : HttpSettings.DEFAULT,
                 (int) reader.integer("largest-calls", 1, LARGEST_CALLS, 10_000),
                 (int) reader.integer("trace-steps", 0, LARGEST_TRACE_STEPS, 2_000),
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
@@ -53,7 +53,7 @@
                 "[\"127.0.0.1:7001\"] | [{a: b}] | host-list | a list of texts",
                 "expected-hosts: 14 | expected-hosts: 0 | expected-hosts | 1 to 1000",
                 "expected-hosts: 14 | expected-hosts: many | expected-hosts | 1 to 1000",
-                "choice: power-of-two | choice: best | choice | one of random",
+                "choice: least-estimate | choice: best | choice | one of random",
                 "largest-calls: 10000 | largest-calls: -1 | largest-calls | 1 to 1000000",
                 "trace-steps: 2000 | trace-steps: 2.5 | trace-steps | 0 to 1000000",
                 "trace-steps: 2000 | trace-step: 2000 | trace-step | unknown key",
