--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Callable;
 import org.chivecourse.command.bench.BenchCommand;
+import org.chivecourse.command.bench.DecisionsCommand;
 import org.chivecourse.command.demo.DemoCommand;
 import org.chivecourse.gateway.log.JsonLogs;
 import picocli.CommandLine;
@@ -23,7 +24,8 @@
             LoadCommand.class,
             ReplayCommand.class,
             DemoCommand.class,
-            BenchCommand.class
+            BenchCommand.class,
+            DecisionsCommand.class
         })
 public final class ChivecourseCommand implements Callable<Integer> {
 
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/LoadCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/LoadCommand.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Callable;
@@ -27,6 +28,9 @@
     /** The time for the records of runs to be read. */
     private static final Duration RECORDS_TIMEOUT = Duration.ofSeconds(10);
 
+    /** The number of microseconds in a millisecond. */
+    private static final double MICROSECONDS = 1000.0;
+
     /** The targets. */
     @Option(names = "--target", required = true, split = ",", description = "The addresses of gateways.")
     private List<String> targets;
@@ -59,6 +63,10 @@
     @Option(names = "--seconds", defaultValue = "5", description = "The time, ${DEFAULT-VALUE} if not given.")
     private int seconds;
 
+    /** The time at the start that is not timed. */
+    @Option(names = "--warm-up-seconds", defaultValue = "0", description = "The time at the start that is not timed.")
+    private int warmUpSeconds;
+
     /** The share of non-idempotent requests. */
     @Option(names = "--write-percent", defaultValue = "20", description = "The share of non-idempotent requests.")
     private int writePercent;
@@ -75,6 +83,7 @@
                 paths,
                 rate,
                 Duration.ofSeconds(seconds),
+                Duration.ofSeconds(warmUpSeconds),
                 writePercent,
                 Duration.ofSeconds(20),
                 seed,
@@ -83,12 +92,10 @@
         for (Map.Entry<Result, Integer> count : report.counts().entrySet()) {
             System.out.println(count.getKey() + " " + count.getValue());
         }
-        AbstractHistogram times = report.times();
-        System.out.printf(
-                "p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms%n",
-                times.getValueAtPercentile(50) / 1000.0,
-                times.getValueAtPercentile(99) / 1000.0,
-                times.getValueAtPercentile(99.9) / 1000.0);
+        print("all", report.times());
+        if (targets.size() > 1) {
+            targets.forEach(target -> print(target, report.timesByTarget().get(target)));
+        }
         if (withoutEmpty(servers).isEmpty()) {
             return ExitCode.DONE;
         }
@@ -99,6 +106,26 @@
         return broken.isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
     }
 
+    /**
+     * Prints the times of answers.
+     *
+     * @param name the target, or all
+     * @param times the times in microseconds, {@code null} if there was no answer
+     */
+    private static void print(String name, AbstractHistogram times) {
+        if (times == null) {
+            System.out.println(name + " no answer");
+            return;
+        }
+        System.out.printf(
+                Locale.ROOT,
+                "%s p50 %.3f ms, p99 %.3f ms, p99.9 %.3f ms%n",
+                name,
+                times.getValueAtPercentile(50) / MICROSECONDS,
+                times.getValueAtPercentile(99) / MICROSECONDS,
+                times.getValueAtPercentile(99.9) / MICROSECONDS);
+    }
+
     /**
      * Reads how often each request ran from all backend servers.
      *
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Bench.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Bench.java
@@ -132,6 +132,7 @@
                 List.of("/" + plan.shape().serviceName()),
                 plan.requestsPerSecond(),
                 plan.slice(),
+                Duration.ZERO,
                 0,
                 Duration.ofSeconds(30),
                 plan.seed() * 31 + round,
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/demo/DemoCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/demo/DemoCommand.java
@@ -93,6 +93,7 @@
                         .toList(),
                 RATE,
                 Duration.ofSeconds(seconds),
+                Duration.ZERO,
                 WRITE_PERCENT,
                 Duration.ofSeconds(20),
                 seed,
--- a/chivecourse-command-line/src/test/java/org/chivecourse/command/process/ProcessFleet.java
+++ b/chivecourse-command-line/src/test/java/org/chivecourse/command/process/ProcessFleet.java
@@ -177,6 +177,7 @@
                 List.of("/jobs"),
                 100,
                 Duration.ofSeconds(seconds),
+                Duration.ZERO,
                 50,
                 Duration.ofSeconds(60),
                 7,
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -213,10 +213,13 @@
      */
     public void answerStarted(Event.AnswerStarted event, long now, DecisionSink sink) {
         AttemptState attempt = ledger.attempt(event.attempt());
-        if (attempt == null || attempt.call().phase() != CallPhase.ATTEMPTING) {
+        if (attempt == null) {
             sink.decide(new Decision.Drop(event.attempt()));
             return;
         }
+        if (attempt.call().phase() != CallPhase.ATTEMPTING) {
+            return;
+        }
         learn(attempt.server(), event.answer(), now, sink);
         if (event.answer().refused()) {
             refused(attempt, event.answer(), now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallLedger.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallLedger.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.state.call.AttemptState;
@@ -19,8 +19,8 @@
     /** The attempts that have not ended, by identifier. */
     private final Map<Long, AttemptState> attempts = new HashMap<>();
 
-    /** The calls in the order of their deadlines; finished calls leave when their deadline passes. */
-    private final PriorityQueue<CallState> deadlines = new PriorityQueue<>(CallState.BY_DEADLINE);
+    /** The calls without a final answer and without one under way, in the order of their deadlines. */
+    private final TreeSet<CallState> deadlines = new TreeSet<>(CallState.BY_DEADLINE);
 
     /** The number of attempts so far. */
     private long attemptCount;
@@ -91,6 +91,7 @@
      */
     void finish(CallState call, DecisionSink sink) {
         call.enter(CallPhase.FINISHED);
+        deadlines.remove(call);
         calls.remove(call.identifier());
         dropOthers(call, null, sink);
     }
@@ -115,14 +116,13 @@
      * Removes a call whose deadline has passed from the order of deadlines.
      *
      * @param now the time in nanoseconds
-     * @return the call, possibly finished, or {@code null} if no deadline has passed
+     * @return the call, or {@code null} if no deadline has passed
      */
     CallState pollExpired(long now) {
-        CallState first = deadlines.peek();
-        if (first == null || first.terms().deadline() - now > 0) {
+        if (deadlines.isEmpty() || deadlines.first().terms().deadline() - now > 0) {
             return null;
         }
-        return deadlines.poll();
+        return deadlines.pollFirst();
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -1,5 +1,6 @@
 package org.chivecourse.coordination.call;
 
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.chivecourse.coordination.choice.Candidates;
 import org.chivecourse.coordination.choice.ChoicePolicy;
@@ -54,14 +55,31 @@
      */
     ServerState selectIdle(ServiceState service, CallState call, long now) {
         begin(service, now);
-        candidates.collect(
-                service.servers(),
+        draw(
+                service,
                 server -> free(server, now)
                         && !call.tried(server)
                         && candidates.inFlight(server) < server.server().slots());
         return candidates.size() == 0 ? null : policy.choose(candidates, service.nextTurn(), random);
     }
 
+    /**
+     * Collects candidates among some backend servers that start at a random place, or among all if none of them is
+     * eligible.
+     *
+     * @param service the service
+     * @param eligible whether a backend server may be chosen
+     */
+    private void draw(ServiceState service, Predicate<ServerState> eligible) {
+        int all = service.servers().size();
+        if (all > policy.largestDraw()) {
+            candidates.collect(service.servers(), eligible, random.nextInt(all), policy.largestDraw());
+        }
+        if (candidates.size() == 0) {
+            candidates.collect(service.servers(), eligible);
+        }
+    }
+
     /**
      * Selects a backend server, preferring those that the call has not been tried on.
      *
@@ -72,12 +90,11 @@
      */
     ServerState select(ServiceState service, CallState call, long now) {
         begin(service, now);
-        boolean again = !call.attempts().isEmpty();
-        if (again) {
-            candidates.collect(service.servers(), server -> free(server, now) && !call.tried(server));
+        if (!call.attempts().isEmpty()) {
+            draw(service, server -> free(server, now) && !call.tried(server));
         }
-        if (!again || candidates.size() == 0) {
-            candidates.collect(service.servers(), server -> free(server, now));
+        if (candidates.size() == 0) {
+            draw(service, server -> free(server, now));
         }
         if (candidates.size() == 0) {
             candidates.collect(service.servers(), this::unlessEjected);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
@@ -7,6 +7,9 @@
 /** The backend servers of a service among which one is chosen, without allocation per choice. */
 public final class Candidates {
 
+    /** The time for which an average over all backend servers is used, in nanoseconds. */
+    private static final long AVERAGE_NANOSECONDS = 1_000_000;
+
     /** The backend servers that may be chosen, in the first {@code size} places. */
     private ServerState[] servers = new ServerState[16];
 
@@ -19,6 +22,12 @@
     /** The average number of other hosts' requests at the service's backend servers. */
     private double othersOnAverage;
 
+    /** The backend servers that the average is of. */
+    private List<ServerState> averaged;
+
+    /** The time of the average in nanoseconds. */
+    private long averagedAt;
+
     /**
      * Starts a choice without candidates.
      *
@@ -26,34 +35,52 @@
      * @param time the time of the choice in nanoseconds
      */
     public void begin(List<ServerState> all, long time) {
+        now = time;
+        size = 0;
+        if (all == averaged && time - averagedAt < AVERAGE_NANOSECONDS) {
+            return;
+        }
+        averaged = all;
+        averagedAt = time;
         if (servers.length < all.size()) {
             servers = new ServerState[all.size()];
         }
-        now = time;
         int others = 0;
         for (int index = 0; index < all.size(); index++) {
             others += all.get(index).othersInFlight();
         }
         othersOnAverage = all.isEmpty() ? 0 : (double) others / all.size();
-        size = 0;
     }
 
     /**
-     * Collects the backend servers that may be chosen.
+     * Collects the backend servers that may be chosen among some that follow each other.
      *
      * @param all the backend servers of the service
      * @param eligible whether a backend server may be chosen
+     * @param start the place of the first, whose successors continue with the first of all after the last
+     * @param count the number of backend servers to look at, at most all
      */
-    public void collect(List<ServerState> all, Predicate<ServerState> eligible) {
+    public void collect(List<ServerState> all, Predicate<ServerState> eligible, int start, int count) {
         size = 0;
-        for (int index = 0; index < all.size(); index++) {
-            ServerState server = all.get(index);
+        for (int offset = 0; offset < count; offset++) {
+            int place = start + offset;
+            ServerState server = all.get(place < all.size() ? place : place - all.size());
             if (eligible.test(server)) {
                 servers[size++] = server;
             }
         }
     }
 
+    /**
+     * Collects the backend servers that may be chosen among all.
+     *
+     * @param all the backend servers of the service
+     * @param eligible whether a backend server may be chosen
+     */
+    public void collect(List<ServerState> all, Predicate<ServerState> eligible) {
+        collect(all, eligible, 0, all.size());
+    }
+
     /**
      * Returns the estimated number of requests in flight at a backend server over all hosts.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
@@ -47,17 +47,15 @@
         }
     },
 
-    /** Chooses the candidate with the least estimated time among some that are drawn at random. */
+    /** Chooses the candidate with the least estimated time. */
     LEAST_ESTIMATE {
         @Override
         public ServerState choose(Candidates candidates, long turn, RandomGenerator random) {
-            int drawn = Math.min(candidates.size(), LARGEST_DRAW);
             int start = random.nextInt(candidates.size());
-            int stride = candidates.size() <= LARGEST_DRAW ? 1 : candidates.size() / LARGEST_DRAW;
             int best = start;
             double least = candidates.estimate(start);
-            for (int count = 1; count < drawn; count++) {
-                int index = (start + count * stride) % candidates.size();
+            for (int offset = 1; offset < candidates.size(); offset++) {
+                int index = (start + offset) % candidates.size();
                 double estimate = candidates.estimate(index);
                 if (estimate < least) {
                     least = estimate;
@@ -71,11 +69,25 @@
         public boolean admits(ServerState server, Candidates candidates) {
             return server.ownInFlight() == 0 || candidates.inFlight(server) < server.limit();
         }
+
+        @Override
+        public int largestDraw() {
+            return LARGEST_DRAW;
+        }
     };
 
-    /** The largest number of candidates that are compared. */
+    /** The largest number of backend servers that are compared by their estimates. */
     private static final int LARGEST_DRAW = 24;
 
+    /**
+     * Returns the largest number of backend servers that are looked at for one choice if some of them have room.
+     *
+     * @return the number
+     */
+    public int largestDraw() {
+        return Integer.MAX_VALUE;
+    }
+
     /**
      * Returns whether a backend server has room for one more request.
      *
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/host/CoreHarness.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/CoreHarness.java
@@ -89,6 +89,12 @@
         return all;
     }
 
+    /** Lets time pass without any tick, as for a process that is paused, and then ticks once. */
+    public List<Decision> skip(long milliseconds) {
+        now += milliseconds * MILLISECOND;
+        return handle(new Event.TimePassed());
+    }
+
     public long arrive(Method method, String path) {
         return arrive(new Arrival(method, path, 0, 0, true, "", path.hashCode()));
     }
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FaultRun.java
@@ -0,0 +1,142 @@
+package org.chivecourse.coordination.host;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.coordination.event.Event;
+
+/** One call that is led to a step, struck by faults there, and then led to its end. */
+final class FaultRun {
+
+    private final CoreHarness harness = new CoreHarness(ChoicePolicy.LEAST_ESTIMATE, 1);
+
+    private final Arrival arrival;
+
+    private Service service = CoreHarness.jobs(3);
+
+    private long revision = 2;
+
+    private long call;
+
+    /** The attempts that were started and not ended, with whether they proceeded. */
+    private final Map<Decision.Send, Boolean> attempts = new LinkedHashMap<>();
+
+    FaultRun(boolean order) {
+        Method method = order ? Method.POST : Method.GET;
+        String path = order ? "/jobs/orders" : "/jobs/lookups/1";
+        arrival = new Arrival(method, path, 0, 0, true, "", 77);
+        harness.configure(revision, service);
+    }
+
+    CoreHarness harness() {
+        return harness;
+    }
+
+    Service service() {
+        return service;
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    long call() {
+        return call;
+    }
+
+    void arrive() {
+        call = harness.arrive(arrival);
+        take();
+    }
+
+    void resend() {
+        harness.arrive(arrival);
+        take();
+    }
+
+    /** Takes over the attempts that the last event started or dropped. */
+    private void take() {
+        harness.all(Decision.Send.class).forEach(send -> attempts.put(send, false));
+        harness.all(Decision.Drop.class)
+                .forEach(drop -> attempts.keySet().removeIf(send -> send.attempt() == drop.attempt()));
+        harness.all(Decision.Withdraw.class)
+                .forEach(drop -> attempts.keySet().removeIf(send -> send.attempt() == drop.attempt()));
+    }
+
+    private Decision.Send latest() {
+        List<Decision.Send> all = new ArrayList<>(attempts.keySet());
+        return all.isEmpty() ? null : all.get(all.size() - 1);
+    }
+
+    String address() {
+        Decision.Send send = latest();
+        return send == null ? "10.0.0.1:80" : send.address();
+    }
+
+    void connect() {
+        Decision.Send send = latest();
+        if (send == null || attempts.get(send)) {
+            return;
+        }
+        boolean proceeds = harness.connect(send);
+        if (proceeds) {
+            attempts.put(send, true);
+        }
+        take();
+    }
+
+    void answerHead(Event.AnswerHead head) {
+        connect();
+        Decision.Send send = latest();
+        if (send != null && attempts.get(send)) {
+            harness.handle(new Event.AnswerStarted(send.attempt(), head));
+            take();
+        }
+    }
+
+    void end(boolean unsent) {
+        Decision.Send send = latest();
+        if (send == null) {
+            return;
+        }
+        boolean proceeded = attempts.remove(send);
+        harness.handle(
+                proceeded || !unsent
+                        ? new Event.AttemptBroken(send.attempt(), "reset")
+                        : new Event.AttemptUnsent(send.attempt(), "refused"));
+        take();
+    }
+
+    void fillSlots() {
+        for (int count = 0; count < 5; count++) {
+            harness.arrive(Method.GET, "/jobs/lookups/full" + count);
+            take();
+        }
+    }
+
+    void configure(Service changed) {
+        service = changed;
+        harness.configure(++revision, changed);
+        take();
+    }
+
+    /** Leads every open attempt to a whole answer and lets all deadlines pass. */
+    void finish() {
+        for (int round = 0; round < 50 && !attempts.isEmpty(); round++) {
+            answerHead(new Event.AnswerHead(200, false, false, null));
+            Decision.Send send = latest();
+            if (send != null && attempts.get(send)) {
+                attempts.remove(send);
+                harness.handle(new Event.AnswerCompleted(send.attempt()));
+                take();
+            }
+        }
+        harness.pass(3000);
+    }
+}
--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadGenerator.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadGenerator.java
@@ -70,8 +70,14 @@
         long end = start + plan.duration().toNanos();
         double planned = start;
         int number = 0;
+        long warm = start + plan.warmUp().toNanos();
+        boolean cold = true;
         while (planned < end) {
             waitUntil((long) planned);
+            if (cold && planned >= warm) {
+                report.forgetTimes();
+                cold = false;
+            }
             send(targets.next(), number++, random.nextInt(100) < plan.writePercent(), (long) planned, open);
             planned += -Math.log(1 - random.nextDouble()) * TimeUnit.SECONDS.toNanos(1) / plan.rate();
         }
@@ -106,7 +112,7 @@
     private void send(String target, int number, boolean write, long planned, Phaser open) {
         String identifier = plan.label() + "-" + number;
         if (target == null) {
-            report.record(identifier, write, Result.NOT_CONNECTED, 0);
+            report.record("", identifier, write, Result.NOT_CONNECTED, 0);
             return;
         }
         open.register();
@@ -116,7 +122,7 @@
                 .onErrorResume(failure -> Mono.just(resultOf(failure)))
                 .subscribe(result -> {
                     long microseconds = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - planned);
-                    report.record(identifier, write, result, microseconds);
+                    report.record(target, identifier, write, result, microseconds);
                     open.arriveAndDeregister();
                 });
     }
--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadPlan.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadPlan.java
@@ -11,6 +11,7 @@
  * @param paths the paths of services, each preceded by a slash
  * @param rate the number of requests a second over all targets
  * @param duration the time for which requests start
+ * @param warmUp the time at the start whose answers are checked and not timed
  * @param writePercent the share of non-idempotent requests in percent
  * @param timeout the time after which a request counts as failed
  * @param seed the seed of arrivals
@@ -22,6 +23,7 @@
         List<String> paths,
         double rate,
         Duration duration,
+        Duration warmUp,
         int writePercent,
         Duration timeout,
         long seed,
--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadReportOfRun.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadReportOfRun.java
@@ -20,6 +20,9 @@
     /** The times from the planned start of a request to the end of its answer, in microseconds. */
     private final ConcurrentHistogram times = new ConcurrentHistogram(LARGEST_MICROSECONDS, DIGITS);
 
+    /** The times of answered requests by target, in microseconds. */
+    private final Map<String, ConcurrentHistogram> timesByTarget = new ConcurrentHashMap<>();
+
     /** The results of requests by identifier. */
     private final Map<String, Result> results = new ConcurrentHashMap<>();
 
@@ -29,18 +32,23 @@
     /**
      * Records a result.
      *
+     * @param target the target
      * @param request the identifier of the request
      * @param write whether the request is not idempotent
      * @param result how it ended
      * @param microseconds the time since its planned start
      */
-    void record(String request, boolean write, Result result, long microseconds) {
+    void record(String target, String request, boolean write, Result result, long microseconds) {
         results.put(request, result);
         if (write) {
             writes.add(request);
         }
         if (result == Result.ANSWERED) {
-            times.recordValue(Math.min(microseconds, LARGEST_MICROSECONDS));
+            long bounded = Math.min(microseconds, LARGEST_MICROSECONDS);
+            times.recordValue(bounded);
+            timesByTarget
+                    .computeIfAbsent(target, key -> new ConcurrentHistogram(LARGEST_MICROSECONDS, DIGITS))
+                    .recordValue(bounded);
         }
     }
 
@@ -64,6 +72,23 @@
         return times;
     }
 
+    /**
+     * Returns the times of answered requests by target.
+     *
+     * @return the times in microseconds
+     */
+    public Map<String, ConcurrentHistogram> timesByTarget() {
+        return Map.copyOf(timesByTarget);
+    }
+
+    /**
+     * Forgets the times so far.
+     */
+    public void forgetTimes() {
+        times.reset();
+        timesByTarget.values().forEach(ConcurrentHistogram::reset);
+    }
+
     /**
      * Returns the requests that broke a promise.
      *
