Put a configuration in force before the next call is decided

Cause: the driver carried out decisions after it had let the next event in, so a call could be sent to a backend server whose connections did not exist yet: it was refused as not run, truthfully and without need. Seen once in 32 path tests on a busy machine, as 503 no-connection within 61 ms of the start. Ruled out: refused connections (the server listened before the gateway started) and time-outs (500 ms). Change: the decision that puts a configuration in force is carried out before the lock is released.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
@@ -70,11 +70,25 @@
             long now = System.nanoTime();
             core.handle(event, now, decisions::add);
             recorder.record(now, event, decisions);
+            perform(decisions, true);
         } finally {
             lock.unlock();
         }
+        perform(decisions, false);
+    }
+
+    /**
+     * Carries out decisions.
+     *
+     * @param decisions the decisions
+     * @param configurations whether to carry out those that put a configuration in force, which has to be done before
+     *     the next event chooses one of its backend servers, or the others
+     */
+    private void perform(List<Decision> decisions, boolean configurations) {
         for (Decision decision : decisions) {
-            performer.decide(decision);
+            if (decision instanceof Decision.Apply == configurations) {
+                performer.decide(decision);
+            }
         }
     }
 
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/daemon/CallOutcomeTest.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/daemon/CallOutcomeTest.java
@@ -15,7 +15,9 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.model.Limits;
+import org.chivecourse.configuration.model.Service;
 import org.chivecourse.gateway.GatewayFixture;
 import org.chivecourse.gateway.RawConnection;
 import org.chivecourse.gateway.RawServer;
@@ -161,6 +163,32 @@
         }
     }
 
+    @Test
+    void aServerThatLeavesTheConfigurationFinishesWhatItHas() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        RawServer.Behaviour slow = socket -> {
+            await(release);
+            socket.getOutputStream().write(WHOLE.getBytes());
+        };
+        try (RawServer leaving = new RawServer(slow);
+                RawServer staying = RawServer.answering(WHOLE);
+                GatewayFixture fixture = GatewayFixture.of(List.of(leaving.address()))) {
+            try (RawConnection first = new RawConnection(fixture.port())) {
+                first.write(ORDER);
+                GatewayFixture.await(() -> !leaving.requests().isEmpty());
+                Service other = fixture.service()
+                        .backendServers(
+                                List.of(BackendServer.at(staying.address()).in("si-a")));
+                fixture.publish(2, other);
+                GatewayFixture.await(() -> fixture.gateway().status().contains("\"revision\" : 2"));
+                assertThat(exchange(fixture, ORDER), endsWith("whole"));
+                assertThat(staying.requests(), hasSize(1));
+                release.countDown();
+                assertThat(first.readAll(), endsWith("whole"));
+            }
+        }
+    }
+
     @Test
     void refusesAtOnceWhenNoMoreMayWait() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
