--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
@@ -4,6 +4,7 @@
 import org.chivecourse.command.bench.BenchCommand;
 import org.chivecourse.command.bench.DecisionsCommand;
 import org.chivecourse.command.bench.FleetCommand;
+import org.chivecourse.command.bench.RecoveryCommand;
 import org.chivecourse.command.demo.DemoCommand;
 import org.chivecourse.gateway.log.JsonLogs;
 import picocli.CommandLine;
@@ -27,7 +28,8 @@
             DemoCommand.class,
             BenchCommand.class,
             DecisionsCommand.class,
-            FleetCommand.class
+            FleetCommand.class,
+            RecoveryCommand.class
         })
 public final class ChivecourseCommand implements Callable<Integer> {
 
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Bench.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Bench.java
@@ -14,6 +14,8 @@
 import org.HdrHistogram.AbstractHistogram;
 import org.chivecourse.command.fleet.LocalFleet;
 import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.configuration.model.MeasuringBudget;
+import org.chivecourse.configuration.model.Service;
 import org.chivecourse.configuration.rule.ConfigurationException;
 import org.chivecourse.gateway.daemon.Gateway;
 import org.chivecourse.gateway.daemon.GatewayException;
@@ -29,6 +31,9 @@
     /** The time between two disturbances of backend servers, in milliseconds. */
     private static final long DISTURBANCE_MILLISECONDS = 1000;
 
+    /** The whole slot time in thousandths, for measurements that bound the rate of probes alone. */
+    private static final int WHOLE_PERMILLE = 1000;
+
     /** The number of microseconds in a millisecond. */
     private static final double MICROSECONDS = 1000.0;
 
@@ -93,13 +98,28 @@
      */
     private LocalFleet startFleet(Variant variant)
             throws ConfigurationException, DocumentException, GatewayException, InterruptedException {
-        LocalFleet fleet = new LocalFleet(List.of(plan.shape()), this::profile, variant.change(), plan.seed());
+        LocalFleet fleet = new LocalFleet(
+                List.of(plan.shape()),
+                this::profile,
+                service -> budgeted(variant.change().apply(service)),
+                plan.seed());
         for (int index = 0; index < plan.gateways(); index++) {
             fleet.startGateway("si-" + (char) ('a' + index % 3), plan.gateways(), variant.choice());
         }
         return fleet;
     }
 
+    /**
+     * Returns a service with the measuring budget of the plan, if it is probed at all.
+     *
+     * @param service the service
+     * @return the service
+     */
+    private Service budgeted(Service service) {
+        boolean probed = service.measuring().probesPerSecond() > 0 && plan.probesPerSecond() >= 0;
+        return probed ? service.measuring(new MeasuringBudget(plan.probesPerSecond(), WHOLE_PERMILLE)) : service;
+    }
+
     /**
      * Returns how backend servers work.
      *
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/BenchCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/BenchCommand.java
@@ -58,6 +58,14 @@
     @Option(names = "--instant", description = "Let backend servers answer at once, for the time that gateways add.")
     private boolean instant;
 
+    /** The measuring budget. */
+    @Option(
+            names = "--probes",
+            defaultValue = "-1",
+            description =
+                    "Probes a second over all gateways in place of the service's budget, for variants that probe.")
+    private int probesPerSecond;
+
     /** The rate. */
     @Option(names = "--rate", defaultValue = "0", description = "Requests a second in place of a utilisation.")
     private double rate;
@@ -82,6 +90,7 @@
                 Duration.ofSeconds(seconds),
                 seed,
                 instant,
+                probesPerSecond,
                 rate);
         List<SliceResult> results = new Bench(plan).run(BenchCommand::print);
         BenchReport report = new BenchReport(plan, results);
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/BenchPlan.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/BenchPlan.java
@@ -16,6 +16,7 @@
  * @param slice the time of each measurement
  * @param seed the seed of arrivals, service times and disturbances
  * @param instant whether backend servers answer at once, for the time that gateways add
+ * @param probesPerSecond the measuring budget of variants that probe, negative for that of the service
  * @param rate the number of requests a second, zero to derive it from the utilisation
  */
 public record BenchPlan(
@@ -28,6 +29,7 @@
         Duration slice,
         long seed,
         boolean instant,
+        int probesPerSecond,
         double rate) {
 
     /**
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/RecoveryCommand.java
@@ -0,0 +1,106 @@
+package org.chivecourse.command.bench;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.UnaryOperator;
+import org.chivecourse.command.fleet.LocalFleet;
+import org.chivecourse.gateway.log.JsonLogs;
+import org.chivecourse.standin.deployment.ServiceShape;
+import org.chivecourse.standin.load.LoadGenerator;
+import org.chivecourse.standin.load.LoadPlan;
+import org.chivecourse.standin.load.LoadReportOfRun;
+import org.chivecourse.standin.load.Result;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Measures whether an overload ends when its cause ends. */
+@Command(
+        name = "bench-recovery",
+        description = "Loads a service below its slots, above them and below again, and prints each slice.",
+        mixinStandardHelpOptions = true)
+public final class RecoveryCommand implements Callable<Integer> {
+
+    /** The load of each slice, in percent of the slots. */
+    private static final List<Integer> SLICES = List.of(60, 60, 60, 200, 200, 200, 60, 60, 60, 60);
+
+    /** The number of gateways. */
+    private static final int GATEWAYS = 3;
+
+    /** The share of non-idempotent requests in percent. */
+    private static final int WRITE_PERCENT = 20;
+
+    /** The seed. */
+    @Option(names = "--seed", defaultValue = "1", description = "The seed.")
+    private long seed;
+
+    /** The time of each slice. */
+    @Option(names = "--seconds", defaultValue = "1", description = "The time of each slice.")
+    private int seconds;
+
+    /** Creates the command. */
+    public RecoveryCommand() {}
+
+    @Override
+    public Integer call() throws Exception {
+        JsonLogs.onlyWarnings();
+        ServiceShape shape = ServiceShape.JOBS;
+        int broken = 0;
+        try (LocalFleet fleet =
+                new LocalFleet(List.of(shape), UnaryOperator.identity(), UnaryOperator.identity(), seed)) {
+            for (int index = 0; index < GATEWAYS; index++) {
+                fleet.startGateway("si-" + (char) ('a' + index), GATEWAYS, "least-estimate");
+            }
+            for (int slice = 0; slice < SLICES.size(); slice++) {
+                LoadReportOfRun report = new LoadGenerator(plan(fleet, shape, slice)).run();
+                broken += report.broken(fleet.records()::of).size();
+                print(slice, report);
+            }
+        }
+        System.out.println("broken promises " + broken);
+        return broken == 0 ? 0 : 1;
+    }
+
+    /**
+     * Returns the load of a slice.
+     *
+     * @param fleet the fleet
+     * @param shape the service
+     * @param slice the number of the slice
+     * @return the load
+     */
+    private LoadPlan plan(LocalFleet fleet, ServiceShape shape, int slice) {
+        return new LoadPlan(
+                LocalFleet.callerAddresses(fleet.gateways()),
+                List.of(),
+                List.of("/" + shape.serviceName()),
+                shape.capacity() * SLICES.get(slice) / 100,
+                Duration.ofSeconds(seconds),
+                Duration.ZERO,
+                WRITE_PERCENT,
+                Duration.ofSeconds(20),
+                seed * 100 + slice,
+                "slice-" + slice);
+    }
+
+    /**
+     * Prints a slice.
+     *
+     * @param slice the number of the slice
+     * @param report what its load found
+     */
+    private static void print(int slice, LoadReportOfRun report) {
+        int answered = report.counts().getOrDefault(Result.ANSWERED, 0);
+        int all = report.counts().values().stream().mapToInt(Integer::intValue).sum();
+        System.out.printf(
+                Locale.ROOT,
+                "slice %2d load %3d%% answered %5.1f%% p50 %7.2f ms p99 %7.2f ms %s%n",
+                slice,
+                SLICES.get(slice),
+                100.0 * answered / all,
+                report.times().getValueAtPercentile(50) / 1000.0,
+                report.times().getValueAtPercentile(99) / 1000.0,
+                report.counts());
+    }
+}
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Scenario.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/Scenario.java
@@ -38,6 +38,7 @@
     COLD_STARTS {
         @Override
         void disturb(List<BackendServerStandIn> servers, SplittableRandom random) {
+            servers.forEach(server -> server.fault(Fault.NONE));
             servers.get(random.nextInt(servers.size())).fault(Fault.COLD);
         }
     },
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
@@ -24,6 +24,13 @@
         ChoicePolicy policy,
         int largestCalls) {
 
+    /**
+     * Creates settings; those of older traces lack the bounds on keys and get the default.
+     */
+    public HostSettings {
+        keys = keys == null ? KeyLimits.DEFAULT : keys;
+    }
+
     /**
      * Creates settings of a gateway that exchanges nothing with others.
      *
