Search for due looks a tenth of a second apart, and give each answer exactly the length that it states

On the way: a hedge's loser could close a connection that another attempt already used, since it was closed from another thread than the one that gives it back; streams of configurations could find the port of their datagrams taken; stops closed the pools of backend servers one by one. Change: searches on the first tick of each 100 ms, a function of the time alone, so that traces replay; connections are closed on their own thread and only while their exchange is the attempt's; a body with more or fewer octets than stated fails; a free port is tried again, and a taken one is named in the error.

--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/RecoveryCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/RecoveryCommand.java
@@ -52,6 +52,7 @@
             for (int index = 0; index < GATEWAYS; index++) {
                 fleet.startGateway("si-" + (char) ('a' + index), GATEWAYS, "least-estimate");
             }
+            System.out.println("operators " + LocalFleet.operatorAddresses(fleet.gateways()));
             for (int slice = 0; slice < SLICES.size(); slice++) {
                 LoadReportOfRun report = new LoadGenerator(plan(fleet, shape, slice)).run();
                 broken += report.broken(fleet.records()::of).size();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerWatch.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerWatch.java
@@ -13,6 +13,12 @@
 /** Watches backend servers beyond the calls sent to them: by their health endpoints and by probes of their load. */
 final class ServerWatch {
 
+    /**
+     * The time between two searches for looks that are due, in nanoseconds. A search happens on the first tick of each
+     * such time, whatever ticks there were before.
+     */
+    private static final long LOOK_NANOSECONDS = 100_000_000L;
+
     /** The services of the configuration in force. */
     private final ServiceRegister services;
 
@@ -35,16 +41,30 @@
      * @param sink receives the decisions that follow
      */
     void timePassed(long now, DecisionSink sink) {
+        boolean looks = Math.floorMod(now, LOOK_NANOSECONDS) < HostCore.TICK_NANOSECONDS;
         for (ServiceState service : services.all()) {
-            for (ServerState server : service.servers()) {
-                if (health.look(server, now)) {
-                    sink.decide(new Decision.CheckHealth(server.address()));
-                }
+            if (looks) {
+                look(service, now, sink);
             }
             probe(service, now, sink);
         }
     }
 
+    /**
+     * Starts the looks at health endpoints that are due.
+     *
+     * @param service the service
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    private void look(ServiceState service, long now, DecisionSink sink) {
+        for (ServerState server : service.servers()) {
+            if (health.look(server, now)) {
+                sink.decide(new Decision.CheckHealth(server.address()));
+            }
+        }
+    }
+
     /**
      * Starts a probe if the budget allows one and a backend server is worth it.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -1,10 +1,13 @@
 package org.chivecourse.transport.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.protocol.http.HeaderNames;
@@ -17,6 +20,7 @@
 import reactor.core.publisher.Sinks;
 import reactor.netty.Connection;
 import reactor.netty.NettyOutbound;
+import reactor.netty.channel.ChannelOperations;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientRequest;
 import reactor.netty.http.client.HttpClientResponse;
@@ -120,6 +124,10 @@
     private Publisher<Void> answered(HttpClientResponse head, Connection answering) {
         response = head;
         connection = answering;
+        if (dropped) {
+            closeConnection();
+            return Mono.empty();
+        }
         HttpHeaders headers = head.responseHeaders();
         if (!lengthKnown(head)) {
             return broken("answer states no length, so that its end cannot be told from a cut");
@@ -184,18 +192,47 @@
     /**
      * Returns the body of the answer; its end is told to the core.
      *
-     * @return the buffers, each to be released by the subscriber
+     * @return the buffers, each to be released by the subscriber, or a failure if they are fewer or more octets than
+     *     the header of the answer states
      */
     Flux<ByteBuf> body() {
+        long stated = bodyless() ? -1 : statedLength();
+        AtomicLong passed = new AtomicLong();
         return connection
                 .inbound()
                 .receive()
                 .retain()
+                .doOnNext(buffer -> passed.addAndGet(buffer.readableBytes()))
+                .concatWith(Mono.defer(() -> checkLength(stated, passed.get())))
                 .doOnComplete(this::completed)
                 .doOnError(this::failed)
                 .doOnCancel(this::drop);
     }
 
+    /**
+     * Returns the length that the header of the answer states.
+     *
+     * @return the number of octets, negative if it states none
+     */
+    private long statedLength() {
+        String length = response.responseHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
+        return length == null ? -1 : Long.parseLong(length);
+    }
+
+    /**
+     * Fails if the octets of an answer are not as many as its header states.
+     *
+     * @param stated the number that the header states, negative if it states none
+     * @param passed the number of octets
+     * @return completes if the numbers agree
+     */
+    private static Mono<ByteBuf> checkLength(long stated, long passed) {
+        if (stated < 0 || stated == passed) {
+            return Mono.empty();
+        }
+        return Mono.error(new IOException("the answer has " + passed + " octets in place of " + stated));
+    }
+
     /**
      * Tells the core that the answer is whole.
      */
@@ -256,11 +293,28 @@
     }
 
     /**
-     * Closes the connection so that nothing uses it again.
+     * Closes the connection so that nothing uses it again, unless its exchange is over and another one uses it already.
      */
     private void closeConnection() {
         Connection open = connection;
-        if (open != null) {
+        if (open == null) {
+            return;
+        }
+        EventLoop loop = open.channel().eventLoop();
+        if (loop.inEventLoop()) {
+            closeIfHeld(open);
+        } else {
+            loop.execute(() -> closeIfHeld(open));
+        }
+    }
+
+    /**
+     * Closes a connection on its own thread, on which it is also given back to the pool.
+     *
+     * @param open the connection as this attempt knows it
+     */
+    private static void closeIfHeld(Connection open) {
+        if (ChannelOperations.get(open.channel()) == open) {
             open.channel().close();
         }
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -6,13 +6,16 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.model.Service;
+import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
@@ -121,8 +124,10 @@
      * Closes all connections.
      */
     public synchronized void close() {
-        clients.values().forEach(pooled -> pooled.provider.disposeLater().block());
+        List<Mono<Void>> ends = new ArrayList<>();
+        clients.values().forEach(pooled -> ends.add(pooled.provider.disposeLater()));
         clients.clear();
+        Mono.when(ends).block();
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationStream.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationStream.java
@@ -79,10 +79,11 @@
      * Starts to serve.
      *
      * @param address the address to listen on
+     * @return {@code false} if the address cannot be listened on
      * @throws InterruptedException if the thread is interrupted
      */
-    void start(InetSocketAddress address) throws InterruptedException {
-        new ServerBootstrap()
+    boolean start(InetSocketAddress address) throws InterruptedException {
+        return new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -93,7 +94,8 @@
                     }
                 })
                 .bind(address)
-                .sync();
+                .await()
+                .isSuccess();
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -10,6 +11,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.chivecourse.coordination.decision.Decision;
@@ -25,6 +27,9 @@
     /** The log. */
     private static final Logger LOGGER = Logger.getLogger(PeerEndpoint.class);
 
+    /** The number of free ports that are tried where any will do. */
+    private static final int LARGEST_TRIES = 20;
+
     /** The address to listen on. */
     private final InetSocketAddress address;
 
@@ -66,16 +71,44 @@
      * Starts to listen for datagrams and streams on the same port.
      *
      * @throws InterruptedException if the thread is interrupted
+     * @throws IOException if the port, or each of several free ones where any will do, is in use
+     */
+    public void start() throws InterruptedException, IOException {
+        int tries = address.getPort() == 0 ? LARGEST_TRIES : 1;
+        IOException last = null;
+        for (int count = 0; count < tries; count++) {
+            try {
+                bind();
+                return;
+            } catch (IOException exception) {
+                last = exception;
+            }
+        }
+        throw last;
+    }
+
+    /**
+     * Binds datagrams to a port and streams to the same.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     * @throws IOException if the port is in use
      */
-    public void start() throws InterruptedException {
-        channel = new Bootstrap()
+    private void bind() throws InterruptedException, IOException {
+        ChannelFuture bound = new Bootstrap()
                 .group(group)
                 .channel(NioDatagramChannel.class)
                 .handler(new DigestReceiver())
                 .bind(address)
-                .sync()
-                .channel();
-        stream.start(new InetSocketAddress(address.getHostString(), port()));
+                .await();
+        if (!bound.isSuccess()) {
+            throw new IOException("address " + address + " cannot be listened on", bound.cause());
+        }
+        channel = bound.channel();
+        if (!stream.start(new InetSocketAddress(address.getHostString(), port()))) {
+            int used = port();
+            channel.close().await();
+            throw new IOException("port " + used + " of " + address + " is in use for streams");
+        }
     }
 
     /**
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -226,7 +226,7 @@
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new GatewayException("the start was interrupted", exception);
-        } catch (RuntimeException exception) {
+        } catch (IOException | RuntimeException exception) {
             throw new GatewayException("an address cannot be listened on: " + exception.getMessage(), exception);
         }
         long tick = HostCore.TICK_NANOSECONDS;
--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadGenerator.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/load/LoadGenerator.java
@@ -14,6 +14,7 @@
 import org.chivecourse.protocol.http.HeaderNames;
 import org.chivecourse.standin.backend.BackendServerStandIn;
 import org.chivecourse.transport.http.BackendConnections;
+import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufMono;
 import reactor.netty.http.client.HttpClient;
@@ -26,6 +27,9 @@
  */
 public final class LoadGenerator {
 
+    /** The log. */
+    private static final Logger LOGGER = Logger.getLogger(LoadGenerator.class);
+
     /** The largest number of connections to a target. */
     private static final int CONNECTIONS = 1000;
 
@@ -119,7 +123,7 @@
         String path = plan.paths().get(number % plan.paths().size()) + (write ? "/orders" : "/lookups/" + number);
         exchange(clients.computeIfAbsent(target, this::client), path, write, identifier)
                 .timeout(plan.timeout())
-                .onErrorResume(failure -> Mono.just(resultOf(failure)))
+                .onErrorResume(failure -> Mono.just(resultOf(identifier, failure)))
                 .subscribe(result -> {
                     long microseconds = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - planned);
                     report.record(target, identifier, write, result, microseconds);
@@ -181,13 +185,15 @@
     /**
      * Returns how a failed request ended.
      *
+     * @param identifier the identifier of the request
      * @param failure what happened
      * @return the result
      */
-    private static Result resultOf(Throwable failure) {
+    private static Result resultOf(String identifier, Throwable failure) {
         if (failure instanceof ConnectException || failure instanceof ConnectTimeoutException) {
             return Result.NOT_CONNECTED;
         }
+        LOGGER.warnf("request %s was cut: %s", identifier, failure);
         return Result.CUT;
     }
 }
