Ask callers to close before readiness is withdrawn

Cause: a stop withdrew readiness first and asked callers to close their connections a moment later; an answer between the two left the connection open, on which the balancer sends no more. Seen once in a whole run on a busy machine, as GracefulStopTest.finishesAnExchangeThatIsOpen without the closing field. Change: the order.

--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -365,9 +365,9 @@
      */
     public int stop() throws InterruptedException {
         long start = System.nanoTime();
+        callers.announceStop();
         state = GatewayState.STOPPING;
         audit.step("stopping", "stop was asked for");
-        callers.announceStop();
         driver.handle(new Event.StopAsked());
         waitUntil(start + settings.drain().linger().toNanos(), false);
         callers.stop();
