--- a/benchmarks/added-latency.sh
+++ b/benchmarks/added-latency.sh
@@ -40,11 +40,11 @@
 expected-hosts: 1
 drain: {linger-milliseconds: 1, deadline-milliseconds: 1000}
 Y
-run stand-in configuration-service --port "$port" --file "$folder/configuration.yaml" > "$folder/service.log" 2>&1 &
+"$here/chivecourse" stand-in configuration-service --port "$port" --file "$folder/configuration.yaml" > "$folder/service.log" 2>&1 &
 started+=($!)
-run stand-in backend-server --port $((port + 101)) --slots 1000 --service-milliseconds 0 > "$folder/server.log" 2>&1 &
+"$here/chivecourse" stand-in backend-server --port $((port + 101)) --slots 1000 --service-milliseconds 0 > "$folder/server.log" 2>&1 &
 started+=($!)
-JAVA_OPTIONS="$options ${ONLY_GATEWAY:-}" run gateway --settings "$folder/gateway.yaml" > "$folder/gateway.log" 2>&1 &
+JAVA_OPTIONS="$options ${ONLY_GATEWAY:-}" "$here/chivecourse" gateway --settings "$folder/gateway.yaml" > "$folder/gateway.log" 2>&1 &
 started+=($!)
 until curl -sf "http://127.0.0.1:$((port + 2))/ready" > /dev/null; do sleep 0.2; done
 for ((i = 1; i <= runs; i++)); do
