Let stand-ins take the time that their stop needs

Cause: a stand-in of a backend server gave its socket one millisecond to close and failed when a busy machine took longer, so that the demonstration ended with exit code 2 though every promise held. Seen in a fresh clone under load. Change: stops wait for the socket, for 10 s at most.

--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/BackendServerStandIn.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/BackendServerStandIn.java
@@ -67,6 +67,9 @@
     /** The time until a server that has just started is warm, in nanoseconds. */
     private static final long COLD_NANOSECONDS = 5_000_000_000L;
 
+    /** The longest time that a stop takes. */
+    private static final Duration LONGEST_STOP = Duration.ofSeconds(10);
+
     /** The address to listen on. */
     private final InetSocketAddress address;
 
@@ -130,7 +133,8 @@
      * Stops at once, cutting what is open.
      */
     public void stop() {
-        server.disposeNow(Duration.ofMillis(1));
+        server.dispose();
+        server.onDispose().block(LONGEST_STOP);
     }
 
     /**
--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/platform/ValueStandIn.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/platform/ValueStandIn.java
@@ -22,6 +22,9 @@
     /** The path of the value. */
     private final String path;
 
+    /** The longest time that a stop takes. */
+    private static final Duration LONGEST_STOP = Duration.ofSeconds(10);
+
     /** The address to listen on. */
     private final InetSocketAddress address;
 
@@ -70,7 +73,8 @@
      * Stops listening.
      */
     public void stop() {
-        server.disposeNow(Duration.ofMillis(100));
+        server.dispose();
+        server.onDispose().block(LONGEST_STOP);
     }
 
     /**
