--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ChivecourseCommand.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Callable;
 import org.chivecourse.command.bench.BenchCommand;
 import org.chivecourse.command.bench.DecisionsCommand;
+import org.chivecourse.command.bench.FleetCommand;
 import org.chivecourse.command.demo.DemoCommand;
 import org.chivecourse.gateway.log.JsonLogs;
 import picocli.CommandLine;
@@ -25,7 +26,8 @@
             ReplayCommand.class,
             DemoCommand.class,
             BenchCommand.class,
-            DecisionsCommand.class
+            DecisionsCommand.class,
+            FleetCommand.class
         })
 public final class ChivecourseCommand implements Callable<Integer> {
 
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/GatewayCommand.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/GatewayCommand.java
@@ -42,7 +42,8 @@
             asked.countDown();
         });
         gateway.start();
-        System.out.println("callers " + gateway.callerPort() + " operators " + gateway.operatorPort());
+        System.out.println("callers " + gateway.callerPort() + " operators " + gateway.operatorPort() + " peers "
+                + gateway.peerPort());
         asked.await();
         int cut = gateway.stop();
         return cut == 0 ? ExitCode.DONE : ExitCode.FAILED;
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/StatusTable.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/StatusTable.java
@@ -40,10 +40,37 @@
                         replica.getKey(),
                         replica.getValue().path("last-reached").asText(),
                         failure(replica.getValue().path("failure").asText()))));
+        root.path("hosts").forEach(host -> addHost(text, host));
+        root.path("convictions")
+                .forEach(conviction -> text.append(String.format(
+                        "  convicted request %s for %d s%n",
+                        conviction.path("fingerprint").asText(),
+                        conviction.path("seconds").asLong())));
         root.path("services").forEach(service -> addService(text, service));
         return text.toString();
     }
 
+    /**
+     * Adds another gateway.
+     *
+     * @param text receives the line
+     * @param host the other gateway
+     */
+    private static void addHost(StringBuilder text, JsonNode host) {
+        String name = host.path("name").asText();
+        if (!host.path("known").asBoolean()) {
+            text.append(String.format(
+                    "  host %s: NOT KNOWN, silent for %d ms, last revision %s%n",
+                    name,
+                    host.path("silent-milliseconds").asLong(),
+                    host.path("last-known-revision").asText("never heard")));
+            return;
+        }
+        text.append(String.format(
+                "  host %s: revision %d%s%n",
+                name, host.path("revision").asLong(), host.path("stopping").asBoolean() ? ", stopping" : ""));
+    }
+
     /**
      * Adds a service.
      *
--- /dev/null
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/FleetBench.java
@@ -0,0 +1,289 @@
+package org.chivecourse.command.bench;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.format.PrintedConfiguration;
+import org.chivecourse.configuration.format.ReadConfiguration;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.Route;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.health.HealthAnswer;
+import org.chivecourse.coordination.host.HostCore;
+import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.protocol.peer.Deflation;
+import org.chivecourse.protocol.peer.PeerCodec;
+import org.chivecourse.protocol.peer.PeerMessageException;
+import org.chivecourse.protocol.peer.Seal;
+import org.chivecourse.state.peer.ListedHost;
+import org.chivecourse.state.peer.PeerDigest;
+
+/**
+ * Measures what control costs one host: the decision cores of a fleet run in one thread on virtual time, with their
+ * datagrams printed and read, and without any call.
+ */
+final class FleetBench {
+
+    /** The number of services. */
+    private static final int SERVICES = 39;
+
+    /** The time of a measurement in virtual seconds. */
+    private static final int SECONDS = 10;
+
+    /** The time between two ticks in nanoseconds. */
+    private static final long TICK = HostCore.TICK_NANOSECONDS;
+
+    /** The number of nanoseconds in a second. */
+    private static final long SECOND = 1_000_000_000L;
+
+    /** The longest time that convergence is waited for, in virtual seconds. */
+    private static final int LONGEST_CONVERGENCE_SECONDS = 60;
+
+    /** The number of hosts. */
+    private final int hosts;
+
+    /** The number of backend servers. */
+    private final int servers;
+
+    /** The cores by the name of their host. */
+    private final Map<String, HostCore> cores = new LinkedHashMap<>();
+
+    /** The datagrams under way. */
+    private final Deque<Datagram> datagrams = new ArrayDeque<>();
+
+    /** Prints and reads datagrams. */
+    private final PeerCodec codec = new PeerCodec(Seal.Disabled.INSTANCE);
+
+    /** The virtual time in nanoseconds. */
+    private long now = SECOND;
+
+    /** The bytes of all datagrams. */
+    private long bytes;
+
+    /**
+     * Creates a measurement.
+     *
+     * @param hosts the number of hosts
+     * @param servers the number of backend servers
+     */
+    FleetBench(int hosts, int servers) {
+        this.hosts = hosts;
+        this.servers = servers;
+    }
+
+    /**
+     * Measures.
+     *
+     * @return the result
+     */
+    FleetResult run() {
+        long heapBefore = usedHeap();
+        startFleet();
+        PrintedConfiguration first = configuration(1);
+        cores.values().forEach(core -> read(core, first));
+        pass(5);
+        long heap = usedHeap() - heapBefore;
+        bytes = 0;
+        long processor = processorNanoseconds();
+        long allocated = allocatedBytes();
+        pass(SECONDS);
+        processor = processorNanoseconds() - processor;
+        allocated = allocatedBytes() - allocated;
+        double perHostSecond = (double) hosts * SECONDS;
+        double bytesPerSecond = bytes / perHostSecond;
+        PrintedConfiguration second = configuration(2);
+        read(cores.get("host-0"), second);
+        return new FleetResult(
+                hosts,
+                servers,
+                processor / perHostSecond / SECOND * 100,
+                bytesPerSecond,
+                heap / 1024.0 / 1024.0 / hosts,
+                allocated / perHostSecond / 1024,
+                converge(),
+                second.text().length(),
+                Deflation.deflate(second.text()).length);
+    }
+
+    /**
+     * Starts the cores and tells them the host list.
+     */
+    private void startFleet() {
+        SplittableRandom random = new SplittableRandom(1);
+        List<ListedHost> list = new ArrayList<>();
+        for (int index = 0; index < hosts; index++) {
+            String name = "host-" + index;
+            list.add(new ListedHost(name, name, "dc-" + index % 6, false));
+        }
+        for (ListedHost host : list) {
+            HostSettings settings = new HostSettings(
+                    host.name(), host.dataCentre(), hosts, true, 1, ChoicePolicy.LEAST_ESTIMATE, 10_000);
+            HostCore core = new HostCore(settings, random.split());
+            cores.put(host.name(), core);
+            core.handle(new Event.HostsRead(list), now, decision -> {});
+        }
+    }
+
+    /**
+     * Returns a configuration of the size that is measured.
+     *
+     * @param revision the revision
+     * @return the configuration
+     */
+    private PrintedConfiguration configuration(long revision) {
+        Configuration configuration = Configuration.revision(revision);
+        for (int index = 0; index < SERVICES; index++) {
+            Service service = Service.named("service-" + index);
+            service = service.route(Route.of(service.pathPrefix() + "/lookups", Method.GET)
+                            .attempts(3)
+                            .hedging())
+                    .route(Route.of(service.pathPrefix() + "/orders", Method.POST));
+            for (int server = index; server < servers; server += SERVICES) {
+                service = service.backendServer(BackendServer.at("10.0." + server / 250 + "." + server % 250 + ":80")
+                        .in("dc-" + server % 6));
+            }
+            configuration = configuration.service(service);
+        }
+        return new PrintedConfiguration(configuration, new ConfigurationWriter().printUnchecked(configuration));
+    }
+
+    /**
+     * Tells a core a configuration.
+     *
+     * @param core the core
+     * @param configuration the configuration
+     */
+    private void read(HostCore core, PrintedConfiguration configuration) {
+        Event event = new Event.ConfigurationRead(new ReadConfiguration(configuration, List.of()), "bench");
+        core.handle(event, now, decision -> perform(core, decision));
+    }
+
+    /**
+     * Lets virtual time pass.
+     *
+     * @param seconds the time
+     */
+    private void pass(int seconds) {
+        long end = now + seconds * SECOND;
+        while (now < end) {
+            tick();
+        }
+    }
+
+    /**
+     * Lets one tick pass.
+     */
+    private void tick() {
+        now += TICK;
+        for (HostCore core : cores.values()) {
+            core.handle(new Event.TimePassed(), now, decision -> perform(core, decision));
+        }
+        while (!datagrams.isEmpty()) {
+            Datagram datagram = datagrams.poll();
+            HostCore core = cores.get(datagram.to());
+            core.handle(new Event.DigestArrived(read(datagram)), now, decision -> perform(core, decision));
+        }
+    }
+
+    /**
+     * Reads a datagram.
+     *
+     * @param datagram the datagram
+     * @return the digest
+     */
+    private PeerDigest read(Datagram datagram) {
+        try {
+            return codec.read(datagram.bytes());
+        } catch (PeerMessageException exception) {
+            throw new IllegalStateException("a datagram that was just printed cannot be read", exception);
+        }
+    }
+
+    /**
+     * Carries out the decisions that concern control.
+     *
+     * @param from the core that decided
+     * @param decision the decision
+     */
+    private void perform(HostCore from, Decision decision) {
+        if (decision instanceof Decision.SendDigest send) {
+            byte[] printed = codec.print(send.digest());
+            bytes += printed.length;
+            datagrams.add(new Datagram(send.address(), printed));
+        } else if (decision instanceof Decision.PullConfiguration pull) {
+            ReadConfiguration current =
+                    cores.get(pull.name()).configurations().current().orElseThrow();
+            from.handle(new Event.ConfigurationRead(current, pull.name()), now, next -> perform(from, next));
+        } else if (decision instanceof Decision.CheckHealth check) {
+            from.handle(
+                    new Event.HealthChecked(check.address(), HealthAnswer.SERVING), now, next -> perform(from, next));
+        }
+    }
+
+    /**
+     * Waits until the second configuration is in force everywhere.
+     *
+     * @return the time in virtual milliseconds
+     */
+    private long converge() {
+        long start = now;
+        while (now - start < LONGEST_CONVERGENCE_SECONDS * SECOND) {
+            tick();
+            boolean all = cores.values().stream()
+                    .allMatch(core -> core.configurations().revision() == 2);
+            if (all) {
+                return (now - start) / (SECOND / 1000);
+            }
+        }
+        return LONGEST_CONVERGENCE_SECONDS * 1000L;
+    }
+
+    /**
+     * Returns the processor time of this thread.
+     *
+     * @return the time in nanoseconds
+     */
+    private static long processorNanoseconds() {
+        return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    }
+
+    /**
+     * Returns what this thread has allocated.
+     *
+     * @return the number of bytes
+     */
+    private static long allocatedBytes() {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        return threads.getThreadAllocatedBytes(Thread.currentThread().getId());
+    }
+
+    /**
+     * Returns the heap in use after a collection.
+     *
+     * @return the number of bytes
+     */
+    private static long usedHeap() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    /**
+     * A datagram under way.
+     *
+     * @param to the name of the receiving host
+     * @param bytes the bytes
+     */
+    private record Datagram(String to, byte[] bytes) {}
+}
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/fleet/LocalFleet.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/fleet/LocalFleet.java
@@ -43,6 +43,9 @@
     /** The gateways. */
     private final List<Gateway> gateways = new ArrayList<>();
 
+    /** The hosts of the gateways. */
+    private final List<HostList.Host> hosts = new ArrayList<>();
+
     /** The configuration published last. */
     private PrintedConfiguration published;
 
@@ -121,6 +124,7 @@
                 + "data-centre: " + dataCentre + "\n"
                 + "callers: {address: \"127.0.0.1:0\"}\n"
                 + "operators: {address: \"127.0.0.1:0\"}\n"
+                + "peers: {address: \"127.0.0.1:0\"}\n"
                 + "configuration-service: [\"" + configurationService.address() + "\"]\n"
                 + "host-list: [\"" + hostList.address() + "\"]\n"
                 + "expected-hosts: " + expectedHosts + "\n"
@@ -130,6 +134,9 @@
         Gateway gateway = new Gateway(settings, seed + gateways.size(), Clock.systemUTC());
         gateway.start();
         gateways.add(gateway);
+        hosts.add(new HostList.Host(
+                settings.name(), "127.0.0.1:" + gateway.peerPort(), dataCentre, HostList.HostState.LIVE));
+        hostList.publish(new HostList(hosts).print());
         while (!gateway.ready()) {
             Thread.sleep(1);
         }
--- a/chivecourse-command-line/src/test/java/org/chivecourse/command/process/ProcessFailureIT.java
+++ b/chivecourse-command-line/src/test/java/org/chivecourse/command/process/ProcessFailureIT.java
@@ -145,4 +145,25 @@
         assertThat(status, containsString("\"revision\" : 5"));
         assertThat(ProcessFleet.get(fleet.operators(first), "/status"), containsString("\"revision\" : 5"));
     }
+
+    @Test
+    void twoOperatorsUnderOneRevisionLeadToOneConfigurationEverywhere() {
+        fleet.publish(2, 100);
+        fleet.publish(2, 200);
+        fleet.publish(2, 300);
+        ProcessFleet.await(() -> digest(first).equals(digest(second)) && conflict(first) && conflict(second));
+        assertThat(digest(first), equalTo(digest(second)));
+    }
+
+    private String digest(Process gateway) {
+        String status = ProcessFleet.get(fleet.operators(gateway), "/status");
+        return status.lines()
+                .filter(line -> line.contains("\"digest\""))
+                .findFirst()
+                .orElse("none of " + gateway);
+    }
+
+    private boolean conflict(Process gateway) {
+        return ProcessFleet.get(fleet.operators(gateway), "/status").contains("was published twice");
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -63,12 +63,13 @@
      * Accepts or refuses a call.
      *
      * @param event the call
+     * @param serving whether the gateway serves yet
      * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
-    public void arrive(Event.CallArrived event, long now, DecisionSink sink) {
+    public void arrive(Event.CallArrived event, boolean serving, long now, DecisionSink sink) {
         ServiceState service = services.serviceFor(event.arrival().path()).orElse(null);
-        Reason refusal = refusalOf(event.arrival(), service, now);
+        Reason refusal = serving ? refusalOf(event.arrival(), service, now) : Reason.NO_CONFIGURATION;
         if (refusal != null) {
             answers.refuse(event.call(), refusal, event.arrival(), sink);
             return;
@@ -88,9 +89,6 @@
      * @return the reason, or {@code null} if the arrival becomes a call
      */
     private Reason refusalOf(Arrival arrival, ServiceState service, long now) {
-        if (services.configuration().revision() == 0) {
-            return Reason.NO_CONFIGURATION;
-        }
         if (service == null) {
             return Reason.NO_SERVICE;
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -41,7 +41,7 @@
      * @param now the time in nanoseconds
      */
     void begin(ServiceState service, long now) {
-        candidates.begin(service.servers(), now);
+        candidates.begin(service.servers(), service.reported().average(), now);
         reserved = service.quarantine().reserved();
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -11,6 +11,7 @@
 import org.chivecourse.coordination.measure.ProbeBudget;
 import org.chivecourse.coordination.poison.Quarantine;
 import org.chivecourse.coordination.retry.RetryBudget;
+import org.chivecourse.state.server.ReportedTotal;
 import org.chivecourse.state.server.ServerState;
 
 /** What a host knows of a service. */
@@ -22,6 +23,9 @@
     /** The backend servers in the order of the configuration. */
     private List<ServerState> servers = new ArrayList<>();
 
+    /** The sum of other hosts' requests over the last reports. */
+    private final ReportedTotal reported = new ReportedTotal();
+
     /** The calls that wait for a backend server. */
     private final WaitingCalls waiting;
 
@@ -90,6 +94,7 @@
             next.add(state);
         }
         servers = next;
+        reported.of(servers);
     }
 
     /**
@@ -110,6 +115,15 @@
         return servers;
     }
 
+    /**
+     * Returns the sum of other hosts' requests over the last reports.
+     *
+     * @return the sum
+     */
+    ReportedTotal reported() {
+        return reported;
+    }
+
     /**
      * Returns the calls that wait for a backend server.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
@@ -7,9 +7,6 @@
 /** The backend servers of a service among which one is chosen, without allocation per choice. */
 public final class Candidates {
 
-    /** The time for which an average over all backend servers is used, in nanoseconds. */
-    private static final long AVERAGE_NANOSECONDS = 1_000_000;
-
     /** The backend servers that may be chosen, in the first {@code size} places. */
     private ServerState[] servers = new ServerState[16];
 
@@ -22,34 +19,20 @@
     /** The average number of other hosts' requests at the service's backend servers. */
     private double othersOnAverage;
 
-    /** The backend servers that the average is of. */
-    private List<ServerState> averaged;
-
-    /** The time of the average in nanoseconds. */
-    private long averagedAt;
-
     /**
      * Starts a choice without candidates.
      *
      * @param all the backend servers of the service
+     * @param othersAverage the average number of other hosts' requests at them
      * @param time the time of the choice in nanoseconds
      */
-    public void begin(List<ServerState> all, long time) {
-        now = time;
-        size = 0;
-        if (all == averaged && time - averagedAt < AVERAGE_NANOSECONDS) {
-            return;
-        }
-        averaged = all;
-        averagedAt = time;
+    public void begin(List<ServerState> all, double othersAverage, long time) {
         if (servers.length < all.size()) {
             servers = new ServerState[all.size()];
         }
-        int others = 0;
-        for (int index = 0; index < all.size(); index++) {
-            others += all.get(index).othersInFlight();
-        }
-        othersOnAverage = all.isEmpty() ? 0 : (double) others / all.size();
+        size = 0;
+        now = time;
+        othersOnAverage = othersAverage;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/configuration/ConfigurationRegister.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/configuration/ConfigurationRegister.java
@@ -80,6 +80,15 @@
         return current == null ? 0 : current.printed().configuration().revision();
     }
 
+    /**
+     * Returns the digest of the configuration in force.
+     *
+     * @return the digest, empty before the first
+     */
+    public String digest() {
+        return current == null ? "" : current.printed().digest();
+    }
+
     /**
      * Returns the last conflict of two configurations under one revision.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -1,6 +1,7 @@
 package org.chivecourse.coordination.decision;
 
 import org.chivecourse.configuration.format.PrintedConfiguration;
+import org.chivecourse.state.peer.PeerDigest;
 
 /** Something that the transport has to do. */
 public sealed interface Decision {
@@ -74,6 +75,30 @@
      */
     record SendProbe(String address) implements Decision {}
 
+    /**
+     * Send a digest to another gateway.
+     *
+     * @param address the address at which the other gateway listens
+     * @param digest the digest
+     */
+    record SendDigest(String address, PeerDigest digest) implements Decision {}
+
+    /**
+     * Fetch a configuration from another gateway.
+     *
+     * @param name the name of the other gateway's host
+     * @param address the address at which the other gateway listens
+     * @param digest the digest of the configuration
+     */
+    record PullConfiguration(String name, String address, String digest) implements Decision {}
+
+    /**
+     * Watch the configuration service without pause, or look at it now and then.
+     *
+     * @param withoutPause whether to watch without pause
+     */
+    record Watch(boolean withoutPause) implements Decision {}
+
     /**
      * Use a configuration from now on.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
@@ -1,7 +1,10 @@
 package org.chivecourse.coordination.event;
 
+import java.util.List;
 import org.chivecourse.configuration.format.ReadConfiguration;
 import org.chivecourse.coordination.health.HealthAnswer;
+import org.chivecourse.state.peer.ListedHost;
+import org.chivecourse.state.peer.PeerDigest;
 import org.chivecourse.state.server.LoadReport;
 
 /** Something that happened to a host. */
@@ -106,6 +109,41 @@
      */
     record ProbeEnded(String address, boolean sent, LoadReport report, long nanoseconds) implements Event {}
 
+    /**
+     * The platform's host list was read.
+     *
+     * @param hosts the hosts
+     */
+    record HostsRead(List<ListedHost> hosts) implements Event {
+
+        /**
+         * Creates an event whose hosts are copied.
+         */
+        public HostsRead {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
+    /**
+     * A digest of another gateway arrived.
+     *
+     * @param digest the digest
+     */
+    record DigestArrived(PeerDigest digest) implements Event {}
+
+    /**
+     * A configuration could not be fetched from another gateway.
+     *
+     * @param name the name of the other gateway's host
+     * @param reason what happened
+     */
+    record PullFailed(String name, String reason) implements Event {}
+
+    /**
+     * The gateway was asked to stop.
+     */
+    record StopAsked() implements Event {}
+
     /**
      * What the header of an answer says.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -8,6 +8,8 @@
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.membership.Membership;
+import org.chivecourse.coordination.membership.PeerExchange;
 import org.chivecourse.coordination.poison.PoisonRegister;
 
 /**
@@ -30,6 +32,15 @@
     /** The calls. */
     private final CallCoordinator calls;
 
+    /** The other gateways. */
+    private final Membership membership;
+
+    /** The exchange with the other gateways. */
+    private final PeerExchange exchange;
+
+    /** Whether the gateway has begun to serve. */
+    private boolean serving;
+
     /** The watch of backend servers beyond the calls sent to them. */
     private final ServerWatch serverWatch;
 
@@ -43,6 +54,8 @@
         services = new ServiceRegister(settings.expectedHosts());
         calls = new CallCoordinator(settings, services, random);
         serverWatch = new ServerWatch(services);
+        membership = new Membership(settings, random);
+        exchange = new PeerExchange(settings, membership, configurations, services, calls.poison());
     }
 
     /**
@@ -54,7 +67,7 @@
      */
     public void handle(Event event, long now, DecisionSink sink) {
         if (event instanceof Event.CallArrived arrived) {
-            calls.arrive(arrived, now, sink);
+            calls.arrive(arrived, serves(now), now, sink);
         } else if (event instanceof Event.AttemptReady ready) {
             calls.ready(ready.attempt(), now, sink);
         } else if (event instanceof Event.AnswerStarted started) {
@@ -70,6 +83,7 @@
         } else if (event instanceof Event.TimePassed) {
             calls.timePassed(now, sink);
             serverWatch.timePassed(now, sink);
+            exchange.timePassed(now, sink);
         } else {
             handleKnowledge(event, now, sink);
         }
@@ -94,6 +108,14 @@
             serverWatch.probeReady(ready.address(), now, sink);
         } else if (event instanceof Event.ProbeEnded ended) {
             serverWatch.probeEnded(ended, now);
+        } else if (event instanceof Event.HostsRead read) {
+            membership.list(read.hosts());
+        } else if (event instanceof Event.DigestArrived arrived) {
+            exchange.heard(arrived.digest(), now, sink);
+        } else if (event instanceof Event.PullFailed) {
+            exchange.pullEnded();
+        } else if (event instanceof Event.StopAsked) {
+            exchange.stopping();
         }
     }
 
@@ -105,6 +127,7 @@
      * @param sink receives the decisions that follow
      */
     private void configurationRead(Event.ConfigurationRead event, long now, DecisionSink sink) {
+        exchange.pullEnded();
         long before = configurations.revision();
         String conflictBefore = configurations.conflict();
         boolean applied = configurations.offer(event.configuration());
@@ -170,6 +193,29 @@
         return services;
     }
 
+    /**
+     * Returns the other gateways.
+     *
+     * @return the membership
+     */
+    public Membership membership() {
+        return membership;
+    }
+
+    /**
+     * Returns whether callers may be sent to this gateway.
+     *
+     * @param now the time in nanoseconds
+     * @return {@code true} if a configuration is in force that no peer has been heard to be ahead of at the start
+     */
+    public boolean serves(long now) {
+        serving = serving
+                || configurations.revision() > 0
+                        && membership.joined(now)
+                        && !membership.behind(configurations.revision(), configurations.digest(), now);
+        return serving;
+    }
+
     /**
      * Returns the requests that crash backend servers.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
@@ -8,7 +8,30 @@
  * @param name the name of the host
  * @param dataCentre the name of the data centre that the host stands in
  * @param expectedHosts the largest number of hosts that may run gateways at the same time
+ * @param exchanges whether the gateway exchanges digests with others
+ * @param incarnation the number of the gateway's life, higher for a later one
  * @param policy the way to choose a backend server
  * @param largestCalls the number of calls that the host holds at the same time
  */
-public record HostSettings(String name, String dataCentre, int expectedHosts, ChoicePolicy policy, int largestCalls) {}
+public record HostSettings(
+        String name,
+        String dataCentre,
+        int expectedHosts,
+        boolean exchanges,
+        long incarnation,
+        ChoicePolicy policy,
+        int largestCalls) {
+
+    /**
+     * Creates settings of a gateway that exchanges nothing with others.
+     *
+     * @param name the name of the host
+     * @param dataCentre the name of the data centre that the host stands in
+     * @param expectedHosts the largest number of hosts that may run gateways at the same time
+     * @param policy the way to choose a backend server
+     * @param largestCalls the number of calls that the host holds at the same time
+     */
+    public HostSettings(String name, String dataCentre, int expectedHosts, ChoicePolicy policy, int largestCalls) {
+        this(name, dataCentre, expectedHosts, false, 1, policy, largestCalls);
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/membership/Membership.java
@@ -0,0 +1,222 @@
+package org.chivecourse.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.state.peer.ListedHost;
+import org.chivecourse.state.peer.PeerDigest;
+import org.chivecourse.state.peer.PeerState;
+
+/**
+ * The other gateways.
+ *
+ * <p>The platform's host list says which hosts there may be, and digests say which of them are there. In each round a
+ * host sends its digest to a fixed number of others, each once before any a second time, so that the bytes that it
+ * sends do not depend on the size of the fleet and the time until it hears of a failure does.
+ */
+public final class Membership {
+
+    /** The time between two rounds, in nanoseconds. */
+    public static final long ROUND_NANOSECONDS = 200_000_000L;
+
+    /** The number of peers that get a digest in each round. */
+    public static final int FAN_OUT = 2;
+
+    /** The number of missed turns after which a peer counts as unreachable. */
+    private static final int MISSED_TURNS = 4;
+
+    /** The shortest time after which a silent peer counts as unreachable, in nanoseconds. */
+    private static final long SHORTEST_SILENCE_NANOSECONDS = 3_000_000_000L;
+
+    /** The time for which a new gateway waits for the digests of its peers, in nanoseconds. */
+    private static final long JOIN_NANOSECONDS = 2_000_000_000L;
+
+    /** The time for which a new gateway waits for a higher configuration that it has heard of, in nanoseconds. */
+    private static final long CATCH_UP_NANOSECONDS = 5_000_000_000L;
+
+    /** What the core knows of its host. */
+    private final HostSettings settings;
+
+    /** The source of randomness. */
+    private final RandomGenerator random;
+
+    /** The peers by name. */
+    private final Map<String, PeerState> peers = new TreeMap<>();
+
+    /** The peers that get a digest in the next rounds. */
+    private final List<PeerState> turns = new ArrayList<>();
+
+    /** The time of the last round in nanoseconds. */
+    private long roundAt;
+
+    /** The time of the first event in nanoseconds. */
+    private long startedAt;
+
+    /** Whether there was an event. */
+    private boolean started;
+
+    /** Whether the host list was read. */
+    private boolean listed;
+
+    /**
+     * Creates a membership without peers.
+     *
+     * @param settings what the core knows of its host
+     * @param random the source of randomness
+     */
+    public Membership(HostSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /**
+     * Takes the host list over; hosts that it no longer names are no peers any more.
+     *
+     * @param hosts the hosts
+     */
+    public void list(List<ListedHost> hosts) {
+        listed = true;
+        Map<String, PeerState> next = new TreeMap<>();
+        for (ListedHost host : hosts) {
+            if (host.name().equals(settings.name())) {
+                continue;
+            }
+            PeerState known = peers.get(host.name());
+            if (known == null) {
+                known = new PeerState(host);
+            } else {
+                known.list(host);
+            }
+            next.put(host.name(), known);
+        }
+        peers.clear();
+        peers.putAll(next);
+        turns.clear();
+    }
+
+    /**
+     * Takes a digest.
+     *
+     * @param digest the digest
+     * @param now the time in nanoseconds
+     * @return the peer, or {@code null} if the digest is of no listed host or not new
+     */
+    public PeerState hear(PeerDigest digest, long now) {
+        PeerState peer = peers.get(digest.name());
+        return peer != null && peer.hear(digest, now) ? peer : null;
+    }
+
+    /**
+     * Returns the peers that get a digest now.
+     *
+     * @param now the time in nanoseconds
+     * @return the peers, all of them in the first round with a host list, empty between rounds
+     */
+    public List<PeerState> due(long now) {
+        if (!started) {
+            started = true;
+            startedAt = now;
+            roundAt = now - ROUND_NANOSECONDS;
+        }
+        if (now - roundAt < ROUND_NANOSECONDS || peers.isEmpty()) {
+            return List.of();
+        }
+        roundAt = now;
+        if (!joined(now)) {
+            return unheard();
+        }
+        List<PeerState> due = new ArrayList<>(FAN_OUT);
+        for (int count = 0; count < Math.min(FAN_OUT, peers.size()); count++) {
+            due.add(next());
+        }
+        return due;
+    }
+
+    /**
+     * Returns the peers that were never heard.
+     *
+     * @return the peers
+     */
+    private List<PeerState> unheard() {
+        return peers.values().stream().filter(peer -> peer.latest() == null).toList();
+    }
+
+    /**
+     * Returns the peer whose turn it is.
+     *
+     * @return the peer
+     */
+    private PeerState next() {
+        if (turns.isEmpty()) {
+            turns.addAll(peers.values());
+            Collections.shuffle(turns, new Random(random.nextLong()));
+        }
+        return turns.remove(turns.size() - 1);
+    }
+
+    /**
+     * Returns whether the gateway has heard what its peers know, or has waited long enough for it.
+     *
+     * @param now the time in nanoseconds
+     * @return {@code true} if it may serve
+     */
+    public boolean joined(long now) {
+        if (!settings.exchanges()) {
+            return true;
+        }
+        boolean heardAll = listed && unheard().isEmpty();
+        return heardAll || started && now - startedAt >= JOIN_NANOSECONDS;
+    }
+
+    /**
+     * Returns whether a new gateway has heard of a configuration that goes before its own and may still get it.
+     *
+     * @param revision the revision of its own configuration
+     * @param digest the digest of its own configuration
+     * @param now the time in nanoseconds
+     * @return {@code true} if it does not serve yet for that reason
+     */
+    public boolean behind(long revision, String digest, long now) {
+        if (now - startedAt >= CATCH_UP_NANOSECONDS) {
+            return false;
+        }
+        return peers.values().stream()
+                .anyMatch(peer -> peer.latest() != null && peer.latest().announcesAfter(revision, digest));
+    }
+
+    /**
+     * Returns the time after which a silent peer counts as unreachable.
+     *
+     * @return the time in nanoseconds, which grows with the number of peers
+     */
+    public long longestSilence() {
+        long turn = (peers.size() / FAN_OUT + 1) * ROUND_NANOSECONDS;
+        return Math.max(SHORTEST_SILENCE_NANOSECONDS, MISSED_TURNS * turn);
+    }
+
+    /**
+     * Returns whether a peer is reachable.
+     *
+     * @param peer the peer
+     * @param now the time in nanoseconds
+     * @return {@code true} if it was heard recently
+     */
+    public boolean reachable(PeerState peer, long now) {
+        return peer.heardWithin(now, longestSilence());
+    }
+
+    /**
+     * Returns the peers.
+     *
+     * @return the peers in the order of their names
+     */
+    public Collection<PeerState> peers() {
+        return peers.values();
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/peer/package-info.java
@@ -0,0 +1,2 @@
+/** What one host knows of the other hosts' gateways. */
+package org.chivecourse.state.peer;
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/LeavingCause.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/LeavingCause.java
@@ -3,20 +3,41 @@
 /** How a host learnt that a backend server is leaving. */
 public enum LeavingCause {
     /** The backend server is not leaving. */
-    NONE,
+    NONE(false),
 
     /** The configuration says so. */
-    CONFIGURATION,
+    CONFIGURATION(false),
 
     /** The backend server's health endpoint says so. */
-    HEALTH,
+    HEALTH(true),
 
     /** An answer of the backend server carried the header field. */
-    HEADER,
+    HEADER(true),
 
     /** The backend server refused a request because it leaves. */
-    REFUSAL,
+    REFUSAL(true),
 
     /** Another gateway said so. */
-    PEER
+    PEER(false);
+
+    /** Whether the host found out by itself. */
+    private final boolean foundOut;
+
+    /**
+     * Creates a cause.
+     *
+     * @param foundOut whether the host found out by itself
+     */
+    LeavingCause(boolean foundOut) {
+        this.foundOut = foundOut;
+    }
+
+    /**
+     * Returns whether the host found out by itself.
+     *
+     * @return {@code true} if other hosts do not learn of it unless this one tells them
+     */
+    public boolean foundOut() {
+        return foundOut;
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -42,6 +42,9 @@
     /** The number of other hosts' requests in the last report. */
     private int othersInFlight;
 
+    /** The sum that the last report counts in, {@code null} for none. */
+    private ReportedTotal total;
+
     /** The time of the last report. */
     private long reportedAt;
 
@@ -153,11 +156,24 @@
      * @param now the time
      */
     public void report(LoadReport report, long now) {
-        othersInFlight = Math.max(0, report.inFlight() - open.size());
+        int others = Math.max(0, report.inFlight() - open.size());
+        if (total != null) {
+            total.add(others - othersInFlight);
+        }
+        othersInFlight = others;
         reportedAt = now;
         reported = true;
     }
 
+    /**
+     * Has further reports change a sum.
+     *
+     * @param sum the sum
+     */
+    void countIn(ReportedTotal sum) {
+        total = sum;
+    }
+
     /**
      * Records a failure.
      *
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
@@ -0,0 +1,153 @@
+package org.chivecourse.transport.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.protocol.peer.PeerCodec;
+import org.chivecourse.protocol.peer.PeerMessageException;
+import org.chivecourse.transport.driver.CoreDriver;
+import org.chivecourse.transport.http.BackendConnections;
+import org.jboss.logging.Logger;
+
+/** Sends digests to other gateways and receives theirs, and has configurations fetched. */
+public final class PeerEndpoint {
+
+    /** The log. */
+    private static final Logger LOGGER = Logger.getLogger(PeerEndpoint.class);
+
+    /** The address to listen on. */
+    private final InetSocketAddress address;
+
+    /** Prints and reads datagrams. */
+    private final PeerCodec codec;
+
+    /** The driver of the decision core. */
+    private final CoreDriver driver;
+
+    /** Counts what is exchanged. */
+    private final PeerMetrics metrics;
+
+    /** Serves and fetches configurations. */
+    private final ConfigurationStream stream;
+
+    /** The thread of the exchange. */
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    /** The channel of datagrams, {@code null} before the start. */
+    private volatile Channel channel;
+
+    /**
+     * Creates an endpoint that is not started.
+     *
+     * @param address the address to listen on
+     * @param codec prints and reads datagrams
+     * @param driver the driver of the decision core
+     * @param metrics counts what is exchanged
+     */
+    public PeerEndpoint(InetSocketAddress address, PeerCodec codec, CoreDriver driver, PeerMetrics metrics) {
+        this.address = address;
+        this.codec = codec;
+        this.driver = driver;
+        this.metrics = metrics;
+        stream = new ConfigurationStream(group, driver, metrics);
+    }
+
+    /**
+     * Starts to listen for datagrams and streams on the same port.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void start() throws InterruptedException {
+        channel = new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
+                .handler(new DigestReceiver())
+                .bind(address)
+                .sync()
+                .channel();
+        stream.start(new InetSocketAddress(address.getHostString(), port()));
+    }
+
+    /**
+     * Returns the port that the endpoint is bound to.
+     *
+     * @return the port
+     */
+    public int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    /**
+     * Stops to listen.
+     */
+    public void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Carries out a decision about other gateways.
+     *
+     * @param decision the decision
+     * @return {@code false} if the decision concerns something else
+     */
+    public boolean perform(Decision decision) {
+        if (decision instanceof Decision.SendDigest send) {
+            send(send);
+        } else if (decision instanceof Decision.PullConfiguration pull) {
+            stream.fetch(pull);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    /**
+     * Sends a digest.
+     *
+     * @param send the decision
+     */
+    private void send(Decision.SendDigest send) {
+        byte[] datagram = codec.print(send.digest());
+        if (datagram.length > PeerCodec.LARGEST_DATAGRAM_BYTES) {
+            LOGGER.errorf("a digest of %d bytes is too large to send", datagram.length);
+            return;
+        }
+        metrics.sent(datagram.length);
+        InetSocketAddress unresolved = BackendConnections.address(send.address());
+        InetSocketAddress to = new InetSocketAddress(unresolved.getHostString(), unresolved.getPort());
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to));
+    }
+
+    /** Receives datagrams. */
+    private final class DigestReceiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            byte[] datagram = new byte[packet.content().readableBytes()];
+            packet.content().readBytes(datagram);
+            metrics.received(datagram.length);
+            try {
+                driver.handle(new Event.DigestArrived(codec.read(datagram)));
+            } catch (PeerMessageException exception) {
+                metrics.dropped();
+                LOGGER.debugf("datagram of %s was dropped: %s", packet.sender(), exception.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOGGER.debugf("datagrams: %s", cause);
+        }
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/platform/PlatformWatch.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/platform/PlatformWatch.java
@@ -37,6 +37,9 @@
     /** The shortest time between two polls. */
     private static final Duration SPACING = Duration.ofMillis(50);
 
+    /** The time between two polls that do not wait. */
+    private static final Duration SPARSE_SPACING = Duration.ofSeconds(20);
+
     /** The status of an answer that there is nothing newer. */
     private static final int NOT_MODIFIED = 304;
 
@@ -61,6 +64,9 @@
     /** The last version that each replica answered with, by address. */
     private final Map<String, Long> versions = new HashMap<>();
 
+    /** Whether polls follow each other and wait for a newer value. */
+    private volatile boolean withoutPause = true;
+
     /** Whether the watch runs. */
     private final AtomicBoolean running = new AtomicBoolean();
 
@@ -111,6 +117,21 @@
         provider.dispose();
     }
 
+    /**
+     * Sets whether polls follow each other and wait, or come now and then and do not.
+     *
+     * @param now whether polls follow each other from now on
+     */
+    public void withoutPause(boolean now) {
+        boolean before = withoutPause;
+        withoutPause = now;
+        Disposable open = poll;
+        if (now && !before && running.get() && open != null) {
+            open.dispose();
+            ask();
+        }
+    }
+
     /**
      * Asks the next replica for a newer value.
      */
@@ -126,7 +147,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) GRACE.toMillis())
                 .responseTimeout(WAIT.plus(GRACE))
                 .get()
-                .uri(PlatformProtocol.watch(path, version, WAIT.toMillis()))
+                .uri(PlatformProtocol.watch(path, version, withoutPause ? WAIT.toMillis() : 0))
                 .response(PlatformWatch::read)
                 .single()
                 .subscribe(answer -> answered(address, answer), failure -> failed(address, failure));
@@ -180,7 +201,7 @@
         } else {
             observer.current(address);
         }
-        askAfter(SPACING);
+        askAfter(withoutPause ? SPACING : SPARSE_SPACING);
     }
 
     /**
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/membership/PeerNetwork.java
@@ -0,0 +1,213 @@
+package org.chivecourse.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import org.chivecourse.configuration.format.ConfigurationReader;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.format.ReadConfiguration;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.host.CoreHarness;
+import org.chivecourse.coordination.host.HostCore;
+import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.protocol.peer.PeerCodec;
+import org.chivecourse.protocol.peer.Seal;
+import org.chivecourse.state.peer.ListedHost;
+
+/** Decision cores of several hosts whose messages a test delays, loses and cuts off, on virtual time. */
+final class PeerNetwork {
+
+    static final long MILLISECOND = 1_000_000;
+
+    private static final long TICK = 5 * MILLISECOND;
+
+    private static final long LARGEST_DELAY = 3 * MILLISECOND;
+
+    private final SplittableRandom random;
+
+    private final Map<String, HostCore> cores = new LinkedHashMap<>();
+
+    private final Map<String, Long> sentBytes = new LinkedHashMap<>();
+
+    private final Map<String, Long> highest = new LinkedHashMap<>();
+
+    private final Set<String> paused = new HashSet<>();
+
+    private final List<ListedHost> hosts = new ArrayList<>();
+
+    private final PriorityQueue<Message> messages = new PriorityQueue<>(Comparator.comparingLong(Message::at));
+
+    private final PeerCodec codec = new PeerCodec(Seal.Disabled.INSTANCE);
+
+    private BiPredicate<String, String> connected = (from, to) -> true;
+
+    private double loss;
+
+    private long incarnations;
+
+    private long now = 1_000_000 * MILLISECOND;
+
+    private record Message(long at, String from, String to, Event event) {}
+
+    PeerNetwork(int size, long seed) {
+        random = new SplittableRandom(seed);
+        for (int index = 0; index < size; index++) {
+            String name = "host-" + index;
+            hosts.add(new ListedHost(name, name, "si-" + (char) ('a' + index % 3), false));
+        }
+        hosts.forEach(host -> start(host.name()));
+    }
+
+    /** Starts a host with an empty memory, in place of the one that ran there. */
+    void start(String name) {
+        ListedHost host = host(name);
+        HostSettings settings = new HostSettings(
+                name, host.dataCentre(), hosts.size(), true, ++incarnations, ChoicePolicy.LEAST_ESTIMATE, 1000);
+        cores.put(name, new HostCore(settings, random.split()));
+        highest.put(name, 0L);
+        tell(name, new Event.HostsRead(hosts));
+    }
+
+    private ListedHost host(String name) {
+        return hosts.stream()
+                .filter(host -> host.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    HostCore core(String name) {
+        return cores.get(name);
+    }
+
+    Set<String> names() {
+        return cores.keySet();
+    }
+
+    void lose(double share) {
+        loss = share;
+    }
+
+    void connect(BiPredicate<String, String> pairs) {
+        connected = pairs;
+    }
+
+    void pause(String name) {
+        paused.add(name);
+    }
+
+    void wake(String name) {
+        paused.remove(name);
+    }
+
+    long now() {
+        return now;
+    }
+
+    static ReadConfiguration configuration(long revision, Service service) {
+        String text = new ConfigurationWriter()
+                .printUnchecked(Configuration.revision(revision).service(service));
+        try {
+            return new ConfigurationReader().read("test", text);
+        } catch (Exception exception) {
+            throw new AssertionError(exception);
+        }
+    }
+
+    static ReadConfiguration configuration(long revision) {
+        return configuration(revision, CoreHarness.jobs(3));
+    }
+
+    void read(String name, ReadConfiguration configuration) {
+        tell(name, new Event.ConfigurationRead(configuration, "service"));
+    }
+
+    void tell(String name, Event event) {
+        List<Decision> decisions = new ArrayList<>();
+        cores.get(name).handle(event, now, decisions::add);
+        decisions.forEach(decision -> perform(name, decision));
+        long revision = cores.get(name).configurations().revision();
+        if (revision < highest.get(name)) {
+            throw new AssertionError(name + " went back from revision " + highest.get(name) + " to " + revision);
+        }
+        highest.put(name, revision);
+    }
+
+    private void perform(String from, Decision decision) {
+        if (decision instanceof Decision.SendDigest send) {
+            sentBytes.merge(from, (long) codec.print(send.digest()).length, Long::sum);
+            send(from, send.address(), new Event.DigestArrived(send.digest()));
+        } else if (decision instanceof Decision.PullConfiguration pull) {
+            pull(from, pull);
+        }
+    }
+
+    private void pull(String from, Decision.PullConfiguration pull) {
+        HostCore peer = cores.get(pull.name());
+        boolean there = connected.test(from, pull.name()) && !paused.contains(pull.name());
+        ReadConfiguration current = peer.configurations().current().orElse(null);
+        if (there && current != null && current.printed().digest().equals(pull.digest())) {
+            add(pull.name(), from, new Event.ConfigurationRead(current, pull.name()));
+        } else {
+            add(from, from, new Event.PullFailed(pull.name(), "not there"));
+        }
+    }
+
+    private void send(String from, String to, Event event) {
+        if (random.nextDouble() >= loss && connected.test(from, to)) {
+            add(from, to, event);
+        }
+    }
+
+    private void add(String from, String to, Event event) {
+        messages.add(new Message(now + 1 + random.nextLong(LARGEST_DELAY), from, to, event));
+    }
+
+    /** Lets time pass; a paused host gets neither ticks nor, since datagrams overflow, most messages. */
+    void pass(long milliseconds) {
+        long end = now + milliseconds * MILLISECOND;
+        while (now < end) {
+            now += TICK;
+            while (!messages.isEmpty() && messages.peek().at() <= now) {
+                Message message = messages.poll();
+                if (!paused.contains(message.to())) {
+                    tell(message.to(), message.event());
+                }
+            }
+            for (String name : List.copyOf(cores.keySet())) {
+                if (!paused.contains(name)) {
+                    tell(name, new Event.TimePassed());
+                }
+            }
+        }
+    }
+
+    boolean allHave(long revision) {
+        return cores.values().stream().allMatch(core -> core.configurations().revision() == revision);
+    }
+
+    Set<String> digests() {
+        Set<String> digests = new HashSet<>();
+        cores.values().forEach(core -> digests.add(core.configurations().digest()));
+        return digests;
+    }
+
+    /** Returns the largest number of bytes of datagrams that a host sent. */
+    long largestSentBytes() {
+        return sentBytes.values().stream().mapToLong(Long::longValue).max().orElse(0);
+    }
+
+    void forgetBytes() {
+        sentBytes.clear();
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/PeerCodecTest.java
@@ -0,0 +1,103 @@
+package org.chivecourse.protocol.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.chivecourse.protocol.peer.generated.DigestMessage;
+import org.chivecourse.state.peer.PeerDigest;
+import org.junit.jupiter.api.Test;
+
+class PeerCodecTest {
+
+    private static final PeerDigest DIGEST =
+            new PeerDigest("host-1", 7, 8, 9, "ab".repeat(32), true, true, List.of("10.0.0.1:80"), Map.of(-5L, 60));
+
+    private final PeerCodec open = new PeerCodec(Seal.Disabled.INSTANCE);
+
+    private final PeerCodec sealed = new PeerCodec(new Seal.ForSharedKey("secret".getBytes(StandardCharsets.UTF_8)));
+
+    @Test
+    void readsBackWhatItPrints() throws Exception {
+        assertThat(open.read(open.print(DIGEST)), equalTo(DIGEST));
+        assertThat(sealed.read(sealed.print(DIGEST)), equalTo(DIGEST));
+    }
+
+    @Test
+    void refusesADatagramOfAnotherKey() {
+        PeerCodec other = new PeerCodec(new Seal.ForSharedKey("guess".getBytes(StandardCharsets.UTF_8)));
+        refuses(sealed, other.print(DIGEST), "wrong authentication code");
+        refuses(sealed, open.print(DIGEST), "wrong authentication code");
+        refuses(sealed, new byte[3], "no authentication code");
+    }
+
+    @Test
+    void refusesADatagramOfWhichOneBitChanged() {
+        byte[] datagram = sealed.print(DIGEST);
+        for (int bit = 0; bit < datagram.length * 8; bit++) {
+            byte[] changed = datagram.clone();
+            changed[bit / 8] ^= (byte) (1 << bit % 8);
+            refuses(sealed, changed, "wrong authentication code");
+        }
+    }
+
+    @Test
+    void refusesADatagramOfAnotherVersion() {
+        byte[] later =
+                DigestMessage.newBuilder().setVersion(2).setName("a").build().toByteArray();
+        refuses(open, later, "version 2");
+    }
+
+    @Test
+    void refusesAnOversizedDatagram() {
+        refuses(open, new byte[PeerCodec.LARGEST_DATAGRAM_BYTES + 1], "too large");
+    }
+
+    @Test
+    void refusesImpossibleValues() {
+        byte[] nameless = DigestMessage.newBuilder().setVersion(1).build().toByteArray();
+        refuses(open, nameless, "impossible");
+        byte[] negative = DigestMessage.newBuilder()
+                .setVersion(1)
+                .setName("a")
+                .setRevision(-1)
+                .build()
+                .toByteArray();
+        refuses(open, negative, "impossible");
+    }
+
+    @Test
+    void takesOrRefusesAnyBytesWithoutAnyOtherFailure() {
+        SplittableRandom random = new SplittableRandom(20261204);
+        byte[] valid = open.print(DIGEST);
+        for (int round = 0; round < 20_000; round++) {
+            byte[] bytes = round % 2 == 0 ? new byte[random.nextInt(200)] : valid.clone();
+            int changes = round % 2 == 0 ? bytes.length : 1 + random.nextInt(4);
+            for (int change = 0; change < changes; change++) {
+                bytes[round % 2 == 0 ? change : random.nextInt(bytes.length)] = (byte) random.nextInt();
+            }
+            try {
+                open.read(bytes);
+            } catch (PeerMessageException exception) {
+                assertThat(exception.getMessage().isEmpty(), equalTo(false));
+            }
+        }
+    }
+
+    @Test
+    void refusesATextThatInflatesBeyondItsBound() {
+        byte[] deflated = Deflation.deflate("a".repeat(1000));
+        PeerMessageException thrown = assertThrows(PeerMessageException.class, () -> Deflation.inflate(deflated, 999));
+        assertThat(thrown.getMessage(), containsString("larger than 999"));
+    }
+
+    private static void refuses(PeerCodec codec, byte[] datagram, String problem) {
+        PeerMessageException thrown = assertThrows(PeerMessageException.class, () -> codec.read(datagram));
+        assertThat(thrown.getMessage(), containsString(problem));
+    }
+}
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -3,7 +3,10 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
@@ -23,6 +26,8 @@
 import org.chivecourse.gateway.settings.GatewaySettings;
 import org.chivecourse.gateway.tls.ReloadingTls;
 import org.chivecourse.gateway.tls.TlsException;
+import org.chivecourse.protocol.peer.PeerCodec;
+import org.chivecourse.protocol.peer.Seal;
 import org.chivecourse.protocol.platform.PlatformProtocol;
 import org.chivecourse.protocol.trace.TraceFormat;
 import org.chivecourse.protocol.trace.TraceRecorder;
@@ -32,6 +37,8 @@
 import org.chivecourse.transport.http.ExchangeMetrics;
 import org.chivecourse.transport.http.ExchangeRegister;
 import org.chivecourse.transport.http.ServerLooks;
+import org.chivecourse.transport.peer.PeerEndpoint;
+import org.chivecourse.transport.peer.PeerMetrics;
 import org.chivecourse.transport.platform.PlatformWatch;
 import org.jboss.logging.Logger;
 
@@ -44,6 +51,9 @@
     /** The time between two looks at open exchanges during a stop, in milliseconds. */
     private static final long STOP_POLL_MILLISECONDS = 5;
 
+    /** The number of lives that are told apart within a millisecond. */
+    private static final long LIVES_PER_MILLISECOND = 1000;
+
     /** The settings. */
     private final GatewaySettings settings;
 
@@ -68,6 +78,12 @@
     /** The watch of the configuration service. */
     private final PlatformWatch configurationWatch;
 
+    /** The watch of the host list. */
+    private final PlatformWatch hostListWatch;
+
+    /** The exchange with other gateways, {@code null} if there is none. */
+    private final PeerEndpoint peers;
+
     /** The trail of changes. */
     private final AuditTrail audit;
 
@@ -119,6 +135,8 @@
                 settings.name(),
                 settings.dataCentre(),
                 settings.expectedHosts(),
+                settings.peers() != null,
+                incarnation(clock, seed),
                 settings.choice(),
                 settings.largestCalls());
         recorder = new TraceRecorder(host, seed, settings.traceSteps());
@@ -128,26 +146,67 @@
         exchanges = new ExchangeRegister(driver, connections, new ExchangeMetrics(metrics));
         looks = new ServerLooks(driver, connections);
         callers = new CallerListener(
-                listening(settings.callers()), settings.http(), callerTls::context, driver, exchanges);
+                listening(settings.callers().address()), settings.http(), callerTls::context, driver, exchanges);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::open);
         operators = new OperatorListener(
-                listening(settings.operators()), this::ready, this::status, new MetricsPrinter(metrics), this::trace);
+                listening(settings.operators().address()),
+                this::ready,
+                this::status,
+                new MetricsPrinter(metrics),
+                this::trace);
         configurationWatch = new PlatformWatch(
                 settings.configurationService(),
                 PlatformProtocol.CONFIGURATION_PATH,
                 new ConfigurationFeed(driver, contacts),
                 new SplittableRandom(seed));
+        hostListWatch = new PlatformWatch(
+                settings.hostList(),
+                PlatformProtocol.HOSTS_PATH,
+                new HostListFeed(driver, contacts),
+                new SplittableRandom(seed + 1));
+        peers = settings.peers() == null ? null : peerEndpoint(metrics);
         driver.perform(this::perform);
     }
 
     /**
-     * Returns the socket address of an endpoint.
+     * Returns the number of this life, which is higher than those of earlier ones on the same host.
+     *
+     * @param clock tells the time
+     * @param seed tells lives of the same millisecond apart
+     * @return the number
+     */
+    private static long incarnation(Clock clock, long seed) {
+        return clock.millis() * LIVES_PER_MILLISECOND + Math.floorMod(seed, LIVES_PER_MILLISECOND);
+    }
+
+    /**
+     * Returns the exchange with other gateways.
+     *
+     * @param metrics holds the metrics
+     * @return the exchange
+     * @throws GatewayException if the shared key cannot be read
+     */
+    private PeerEndpoint peerEndpoint(MetricRegistry metrics) throws GatewayException {
+        String keyFile = settings.peers().keyFile();
+        try {
+            Seal seal = keyFile.isEmpty()
+                    ? Seal.Disabled.INSTANCE
+                    : new Seal.ForSharedKey(Files.readAllBytes(Path.of(keyFile)));
+            InetSocketAddress address = listening(settings.peers().address());
+            return new PeerEndpoint(address, new PeerCodec(seal), driver, new PeerMetrics(metrics));
+        } catch (IOException exception) {
+            throw new GatewayException("shared key \"" + keyFile + "\" cannot be read", exception);
+        }
+    }
+
+    /**
+     * Returns the socket address to listen on.
      *
-     * @param endpoint the endpoint
+     * @param text the host name or IP number and the port
      * @return the socket address
      */
-    private static InetSocketAddress listening(GatewaySettings.Endpoint endpoint) {
-        InetSocketAddress address = BackendConnections.address(endpoint.address());
+    private static InetSocketAddress listening(String text) {
+        InetSocketAddress address = BackendConnections.address(text);
         return new InetSocketAddress(address.getHostString(), address.getPort());
     }
 
@@ -160,6 +219,12 @@
         try {
             operators.start();
             callers.start();
+            if (peers != null) {
+                peers.start();
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new GatewayException("the start was interrupted", exception);
         } catch (RuntimeException exception) {
             throw new GatewayException("an address cannot be listened on: " + exception.getMessage(), exception);
         }
@@ -170,6 +235,7 @@
         state = GatewayState.RUNNING;
         audit.step("started", "start");
         configurationWatch.start();
+        hostListWatch.start();
     }
 
     /**
@@ -197,7 +263,7 @@
      * @param decision the decision
      */
     private void perform(Decision decision) {
-        if (exchanges.perform(decision) || looks.perform(decision)) {
+        if (exchanges.perform(decision) || looks.perform(decision) || peers != null && peers.perform(decision)) {
             return;
         }
         if (decision instanceof Decision.Apply apply) {
@@ -205,6 +271,8 @@
             connections.apply(configuration);
             callers.refusals(
                     path -> configuration.serviceFor(path).map(Service::refusal).orElse(RefusalSignal.NONE));
+        } else if (decision instanceof Decision.Watch watch) {
+            configurationWatch.withoutPause(watch.withoutPause());
         } else if (decision instanceof Decision.Audit change) {
             audit.record(change.change());
         }
@@ -216,8 +284,7 @@
      * @return {@code true} while the gateway runs and a configuration is in force
      */
     public boolean ready() {
-        return state == GatewayState.RUNNING
-                && driver.read(core -> core.configurations().revision()) > 0;
+        return state == GatewayState.RUNNING && driver.read(core -> core.serves(System.nanoTime()));
     }
 
     /**
@@ -273,6 +340,15 @@
         return operators.port();
     }
 
+    /**
+     * Returns the port that other gateways connect to.
+     *
+     * @return the port, zero if this one exchanges nothing with others
+     */
+    public int peerPort() {
+        return peers == null ? 0 : peers.port();
+    }
+
     /**
      * Ends a stop at once instead of waiting for open exchanges.
      */
@@ -291,11 +367,16 @@
         state = GatewayState.STOPPING;
         audit.step("stopping", "stop was asked for");
         callers.announceStop();
+        driver.handle(new Event.StopAsked());
         waitUntil(start + settings.drain().linger().toNanos(), false);
         callers.stop();
         waitUntil(start + settings.drain().deadline().toNanos(), true);
         int cut = exchanges.open();
         configurationWatch.stop();
+        hostListWatch.stop();
+        if (peers != null) {
+            peers.stop();
+        }
         ticks.shutdownNow();
         operators.stop();
         connections.close();
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/HostListFeed.java
@@ -0,0 +1,58 @@
+package org.chivecourse.gateway.daemon;
+
+import java.util.List;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.protocol.platform.HostList;
+import org.chivecourse.state.peer.ListedHost;
+import org.chivecourse.transport.driver.CoreDriver;
+import org.chivecourse.transport.platform.PlatformWatch;
+import org.jboss.logging.Logger;
+
+/** Reads the values of the host list and tells them to the core. */
+final class HostListFeed implements PlatformWatch.Observer {
+
+    /** The log. */
+    private static final Logger LOGGER = Logger.getLogger(HostListFeed.class);
+
+    /** The driver of the decision core. */
+    private final CoreDriver driver;
+
+    /** What is known of the replicas. */
+    private final PlatformContacts contacts;
+
+    /**
+     * Creates a feed.
+     *
+     * @param driver the driver of the decision core
+     * @param contacts receives what is known of the replicas
+     */
+    HostListFeed(CoreDriver driver, PlatformContacts contacts) {
+        this.driver = driver;
+        this.contacts = contacts;
+    }
+
+    @Override
+    public void value(String address, String text) {
+        contacts.reached(address);
+        try {
+            List<ListedHost> hosts = HostList.read(address, text).hosts().stream()
+                    .map(host -> new ListedHost(
+                            host.name(), host.address(), host.dataCentre(), host.state() == HostList.HostState.LEAVING))
+                    .toList();
+            driver.handle(new Event.HostsRead(hosts));
+        } catch (DocumentException exception) {
+            LOGGER.warnf("host list of %s is not taken over: %s", address, exception.getMessage());
+        }
+    }
+
+    @Override
+    public void current(String address) {
+        contacts.reached(address);
+    }
+
+    @Override
+    public void unreachable(String address, String reason) {
+        contacts.failed(address, reason);
+    }
+}
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
@@ -8,12 +8,20 @@
 import org.chivecourse.coordination.call.ServiceState;
 import org.chivecourse.coordination.configuration.ConfigurationRegister;
 import org.chivecourse.coordination.host.HostCore;
+import org.chivecourse.coordination.membership.Membership;
 import org.chivecourse.gateway.audit.AuditRecord;
+import org.chivecourse.state.peer.PeerState;
 import org.chivecourse.state.server.ServerState;
 
 /** Prints the status of a gateway as JSON. */
 public final class StatusPrinter {
 
+    /** The number of nanoseconds in a second. */
+    private static final long SECOND = 1_000_000_000L;
+
+    /** The number of nanoseconds in a millisecond. */
+    private static final long MILLISECOND = 1_000_000L;
+
     /** The mapper that prints trees. */
     private final ObjectMapper mapper = new ObjectMapper();
 
@@ -33,6 +41,15 @@
         root.put("state", state);
         root.put("open-calls", core.openCalls());
         addConfiguration(root.putObject("configuration"), core.configurations());
+        ArrayNode peers = root.putArray("hosts");
+        core.membership().peers().forEach(peer -> addPeer(peers.addObject(), peer, core.membership(), now));
+        ArrayNode convictions = root.putArray("convictions");
+        core.poison()
+                .convictions(now)
+                .forEach((fingerprint, remaining) -> convictions
+                        .addObject()
+                        .put("fingerprint", Long.toHexString(fingerprint))
+                        .put("seconds", remaining / SECOND));
         ArrayNode services = root.putArray("services");
         core.services().all().forEach(service -> addService(services.addObject(), service, now));
         ArrayNode trail = root.putArray("changes");
@@ -57,6 +74,26 @@
         node.put("last-rejection", configurations.rejection());
     }
 
+    /**
+     * Adds another gateway; what it said too long ago counts as not known.
+     *
+     * @param node receives the values
+     * @param peer the other gateway
+     * @param membership the other gateways
+     * @param now the time in nanoseconds
+     */
+    private static void addPeer(ObjectNode node, PeerState peer, Membership membership, long now) {
+        boolean known = membership.reachable(peer, now);
+        node.put("name", peer.host().name());
+        node.put("data-centre", peer.host().dataCentre());
+        node.put("known", known);
+        node.put("silent-milliseconds", peer.silence(now) / MILLISECOND);
+        if (peer.latest() != null) {
+            node.put(known ? "revision" : "last-known-revision", peer.latest().revision());
+            node.put("stopping", peer.latest().stopping());
+        }
+    }
+
     /**
      * Adds a service.
      *
@@ -67,6 +104,10 @@
     private static void addService(ObjectNode node, ServiceState service, long now) {
         node.put("name", service.service().name());
         node.put("waiting", service.waiting().size());
+        node.put("probes-sent", service.probes().sent());
+        node.put(
+                "probes-per-second-allowed",
+                service.probes().perSecond(service.service().measuring(), service.slots()));
         ArrayNode servers = node.putArray("backend-servers");
         for (ServerState server : service.servers()) {
             ObjectNode entry = servers.addObject();
@@ -76,6 +117,7 @@
             entry.put("in-flight", server.ownInFlight());
             entry.put("sent", server.sent());
             entry.put("failed", server.failed());
+            entry.put("usual-milliseconds", server.serviceNanoseconds() / MILLISECOND);
         }
     }
 
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
@@ -12,6 +12,7 @@
  * @param dataCentre the name of the data centre that the host stands in
  * @param callers where callers connect to
  * @param operators where operators and the platform's balancer connect to
+ * @param peers where other gateways connect to, {@code null} if this one exchanges nothing with others
  * @param configurationService the addresses of the configuration service's replicas
  * @param hostList the addresses of the host list's replicas
  * @param expectedHosts the largest number of hosts that may run gateways at the same time
@@ -27,6 +28,7 @@
         String dataCentre,
         Endpoint callers,
         Endpoint operators,
+        Peers peers,
         List<String> configurationService,
         List<String> hostList,
         int expectedHosts,
@@ -54,6 +56,14 @@
      */
     public record Endpoint(String address, String certificate, String key) {}
 
+    /**
+     * The exchange with other gateways.
+     *
+     * @param address the host name or IP number and the port, zero for any port, for datagrams and streams
+     * @param keyFile the file with the shared key, empty for an exchange without proof
+     */
+    public record Peers(String address, String keyFile) {}
+
     /**
      * The times of a stop.
      *
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -11,6 +11,7 @@
 import org.chivecourse.coordination.choice.ChoicePolicy;
 import org.chivecourse.gateway.settings.GatewaySettings.Drain;
 import org.chivecourse.gateway.settings.GatewaySettings.Endpoint;
+import org.chivecourse.gateway.settings.GatewaySettings.Peers;
 import org.chivecourse.transport.http.HttpSettings;
 
 /** Reads and checks the settings of a gateway. */
@@ -76,6 +77,7 @@
                 reader.text("data-centre"),
                 endpoint(reader.mapping("callers")),
                 endpoint(reader.mapping("operators")),
+                reader.has("peers") ? peers(reader.mapping("peers")) : null,
                 addresses(reader, "configuration-service"),
                 addresses(reader, "host-list"),
                 (int) reader.integer("expected-hosts", 1, LARGEST_HOSTS),
@@ -101,11 +103,7 @@
      * @throws DocumentException if a value is not allowed
      */
     private static Endpoint endpoint(MappingReader reader) throws DocumentException {
-        String address = reader.text("address");
-        boolean anyPort = address.endsWith(":0") && Address.valid(address.substring(0, address.length() - 1) + "1");
-        if (!anyPort && !Address.valid(address)) {
-            throw reader.refuse("address", Address.ALLOWED + ", or port 0 for any free port");
-        }
+        String address = listening(reader);
         String certificate = file(reader, "certificate");
         String key = file(reader, "key");
         if (certificate.isEmpty() != key.isEmpty()) {
@@ -116,6 +114,35 @@
         return new Endpoint(address, certificate, key);
     }
 
+    /**
+     * Reads an address to listen on.
+     *
+     * @param reader the reader of its holder
+     * @return the address
+     * @throws DocumentException if the address is not allowed
+     */
+    private static String listening(MappingReader reader) throws DocumentException {
+        String address = reader.text("address");
+        boolean anyPort = address.endsWith(":0") && Address.valid(address.substring(0, address.length() - 1) + "1");
+        if (!anyPort && !Address.valid(address)) {
+            throw reader.refuse("address", Address.ALLOWED + ", or port 0 for any free port");
+        }
+        return address;
+    }
+
+    /**
+     * Reads the exchange with other gateways.
+     *
+     * @param reader the reader of the exchange
+     * @return the exchange
+     * @throws DocumentException if a value is not allowed
+     */
+    private static Peers peers(MappingReader reader) throws DocumentException {
+        Peers peers = new Peers(listening(reader), file(reader, "key-file"));
+        reader.finish();
+        return peers;
+    }
+
     /**
      * Reads the name of a file that exists.
      *
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
@@ -31,6 +31,7 @@
         String shortened = "name: entry-1\ndata-centre: si-a\ncallers: {address: \"127.0.0.1:8080\"}\n"
                 + "operators: {address: \"127.0.0.1:8081\"}\nconfiguration-service: [\"127.0.0.1:7000\"]\n"
                 + "host-list: [\"127.0.0.1:7001\"]\nexpected-hosts: 14\n"
+                + "peers: {address: \"127.0.0.1:8082\"}\n"
                 + "drain: {linger-milliseconds: 5000, deadline-milliseconds: 60000}\n";
         assertThat(GatewaySettingsReader.read("short", shortened), equalTo(GatewaySettingsReader.read(EXAMPLE)));
     }
