--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/FleetBench.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/FleetBench.java
@@ -28,7 +28,6 @@
 import org.chivecourse.protocol.peer.PeerMessageException;
 import org.chivecourse.protocol.peer.Seal;
 import org.chivecourse.state.peer.ListedHost;
-import org.chivecourse.state.peer.PeerDigest;
 
 /**
  * Measures what control costs one host: the decision cores of a fleet run in one thread on virtual time, with their
@@ -129,7 +128,14 @@
         }
         for (ListedHost host : list) {
             HostSettings settings = new HostSettings(
-                    host.name(), host.dataCentre(), hosts, true, 1, ChoicePolicy.LEAST_ESTIMATE, 10_000);
+                    host.name(),
+                    host.dataCentre(),
+                    hosts,
+                    true,
+                    1,
+                    HostSettings.KeyLimits.DEFAULT,
+                    ChoicePolicy.LEAST_ESTIMATE,
+                    10_000);
             HostCore core = new HostCore(settings, random.split());
             cores.put(host.name(), core);
             core.handle(new Event.HostsRead(list), now, decision -> {});
@@ -193,7 +199,7 @@
         while (!datagrams.isEmpty()) {
             Datagram datagram = datagrams.poll();
             HostCore core = cores.get(datagram.to());
-            core.handle(new Event.DigestArrived(read(datagram)), now, decision -> perform(core, decision));
+            core.handle(read(datagram), now, decision -> perform(core, decision));
         }
     }
 
@@ -201,11 +207,11 @@
      * Reads a datagram.
      *
      * @param datagram the datagram
-     * @return the digest
+     * @return what it tells the core
      */
-    private PeerDigest read(Datagram datagram) {
+    private Event read(Datagram datagram) {
         try {
-            return codec.read(datagram.bytes());
+            return codec.read(datagram.bytes(), "");
         } catch (PeerMessageException exception) {
             throw new IllegalStateException("a datagram that was just printed cannot be read", exception);
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -9,6 +9,7 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.coordination.limit.ExpectedWait;
+import org.chivecourse.coordination.ownership.KeyOwnership;
 import org.chivecourse.coordination.poison.PoisonRegister;
 import org.chivecourse.coordination.retry.RetryRule;
 import org.chivecourse.state.call.AttemptState;
@@ -33,6 +34,9 @@
     /** The services of the configuration in force. */
     private final ServiceRegister services;
 
+    /** The calls with a key. */
+    private final KeyedCalls keyed;
+
     /** The calls without a final answer and their attempts. */
     private final CallLedger ledger = new CallLedger();
 
@@ -50,12 +54,15 @@
      *
      * @param settings what the core knows of its host
      * @param services the services of the configuration in force
+     * @param ownership the rule that the request of a key runs at most once over all hosts
      * @param random the source of randomness
      */
-    public CallCoordinator(HostSettings settings, ServiceRegister services, RandomGenerator random) {
+    public CallCoordinator(
+            HostSettings settings, ServiceRegister services, KeyOwnership ownership, RandomGenerator random) {
         this.settings = settings;
         this.services = services;
-        answers = new FinalAnswers(services, ledger);
+        answers = new FinalAnswers(services, ledger, ownership);
+        keyed = new KeyedCalls(ledger, answers, ownership, this::start);
         launcher = new AttemptLauncher(ledger, new ServerSelector(settings.policy(), random), poison);
     }
 
@@ -77,7 +84,11 @@
         CallState call = new CallState(event.call(), TermsOfCalls.of(service.service(), event.arrival(), now));
         ledger.add(call);
         service.retries().earn();
-        attemptOrWait(service, call, now, sink);
+        if (call.terms().key().isEmpty() || call.terms().idempotent()) {
+            attemptOrWait(service, call, now, sink);
+            return;
+        }
+        keyed.arrive(call, event.arrival().keyAgeNanoseconds(), now, sink);
     }
 
     /**
@@ -99,6 +110,22 @@
         return ledger.size() * PERCENT >= (long) settings.largestCalls() * share ? Reason.QUEUE_FULL : null;
     }
 
+    /**
+     * Starts a call whose key this host holds.
+     *
+     * @param call the call
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    private void start(CallState call, long now, DecisionSink sink) {
+        ServiceState service = services.service(call.terms().service());
+        if (service == null) {
+            answers.giveUp(call, Reason.NO_SERVICE, now, sink);
+        } else {
+            attemptOrWait(service, call, now, sink);
+        }
+    }
+
     /**
      * Starts an attempt, or lets the call wait, or refuses it.
      *
@@ -111,7 +138,7 @@
         call.enter(CallPhase.WAITING);
         if (poison.suspected(call.terms().fingerprint(), now)) {
             if (!service.quarantine().offer(call)) {
-                answers.giveUp(call, Reason.QUEUE_FULL, sink);
+                answers.giveUp(call, Reason.QUEUE_FULL, now, sink);
             }
             launcher.pump(service, now, sink);
             return;
@@ -120,14 +147,14 @@
             return;
         }
         if (!ServerSelector.anyStaying(service)) {
-            answers.giveUp(call, Reason.NO_SERVER, sink);
+            answers.giveUp(call, Reason.NO_SERVER, now, sink);
             return;
         }
         long wait = ExpectedWait.nanoseconds(service.waiting().size(), service.servers());
         if (now + wait - call.terms().deadline() > 0) {
-            answers.giveUp(call, Reason.DEADLINE_UNREACHABLE, sink);
+            answers.giveUp(call, Reason.DEADLINE_UNREACHABLE, now, sink);
         } else if (!service.waiting().offer(call)) {
-            answers.giveUp(call, Reason.QUEUE_FULL, sink);
+            answers.giveUp(call, Reason.QUEUE_FULL, now, sink);
         }
     }
 
@@ -197,7 +224,7 @@
             suspect(attempt, now, sink);
             againOrGiveUp(attempt.call(), Reason.CONNECTION_BROKEN, now, sink);
         } else if (attempt.call().phase() == CallPhase.DELIVERING) {
-            answers.finish(attempt.call(), sink);
+            answers.finish(attempt.call(), now, sink);
         }
         pump(attempt.call(), now, sink);
     }
@@ -321,7 +348,8 @@
             return;
         }
         if (attempt.call().phase() == CallPhase.DELIVERING) {
-            answers.finish(attempt.call(), sink);
+            answers.finish(attempt.call(), now, sink);
+            keyed.answered(attempt.call(), now);
         }
         pump(attempt.call(), now, sink);
     }
@@ -338,7 +366,7 @@
         if (call == null) {
             return;
         }
-        answers.finish(call, sink);
+        answers.finish(call, now, sink);
         pump(call, now, sink);
     }
 
@@ -349,11 +377,11 @@
      * @param sink receives the decisions that follow
      */
     public void timePassed(long now, DecisionSink sink) {
+        keyed.timePassed(now, sink);
         CallState call = ledger.pollExpired(now);
         while (call != null) {
-            boolean open = call.phase() == CallPhase.WAITING || call.phase() == CallPhase.ATTEMPTING;
-            if (open) {
-                answers.giveUp(call, Reason.DEADLINE_PASSED, sink);
+            if (call.phase() != CallPhase.DELIVERING) {
+                answers.giveUp(call, Reason.DEADLINE_PASSED, now, sink);
                 pump(call, now, sink);
             }
             call = ledger.pollExpired(now);
@@ -406,7 +434,7 @@
             attemptOrWait(service, call, now, sink);
             return;
         }
-        answers.giveUp(call, reason, sink);
+        answers.giveUp(call, reason, now, sink);
     }
 
     /**
@@ -425,6 +453,15 @@
         }
     }
 
+    /**
+     * Returns the calls with a key.
+     *
+     * @return the calls with a key
+     */
+    public KeyedCalls keyed() {
+        return keyed;
+    }
+
     /**
      * Returns the requests that crash backend servers.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
@@ -6,8 +6,10 @@
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.limit.ExpectedWait;
+import org.chivecourse.coordination.ownership.KeyOwnership;
 import org.chivecourse.state.call.CallPhase;
 import org.chivecourse.state.call.CallState;
+import org.chivecourse.state.key.KeyState;
 
 /** Gives calls their final answers in the gateway's own name. */
 final class FinalAnswers {
@@ -18,15 +20,20 @@
     /** The calls and attempts. */
     private final CallLedger ledger;
 
+    /** The rule that the request of a key runs at most once over all hosts. */
+    private final KeyOwnership ownership;
+
     /**
      * Creates final answers.
      *
      * @param services the services of the configuration in force
      * @param ledger the calls and attempts
+     * @param ownership the rule that the request of a key runs at most once over all hosts
      */
-    FinalAnswers(ServiceRegister services, CallLedger ledger) {
+    FinalAnswers(ServiceRegister services, CallLedger ledger, KeyOwnership ownership) {
         this.services = services;
         this.ledger = ledger;
+        this.ownership = ownership;
     }
 
     /**
@@ -34,14 +41,16 @@
      *
      * @param call the call
      * @param reason why
+     * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
-    void giveUp(CallState call, Reason reason, DecisionSink sink) {
-        boolean notRun = call.provablyNotRun() && !mayRunElsewhere(call.terms().key());
+    void giveUp(CallState call, Reason reason, long now, DecisionSink sink) {
+        boolean notSent = call.provablyNotRun();
+        boolean notRun = notSent && !mayRunElsewhere(call.terms().key());
         Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-        boolean again = notRun || call.terms().idempotent();
+        boolean again = call.terms().idempotent() || notSent && reason != Reason.ANSWERED_BEFORE;
         ServiceState service = services.service(call.terms().service());
-        finish(call, sink);
+        finish(call, now, sink);
         sink.decide(new Decision.Refuse(
                 call.identifier(), new Decision.Refusal(outcome, reason, again ? retryAfter(service) : 0)));
     }
@@ -87,15 +96,20 @@
      * Finishes a call and drops its open attempts.
      *
      * @param call the call
+     * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
-    void finish(CallState call, DecisionSink sink) {
+    void finish(CallState call, long now, DecisionSink sink) {
         if (call.phase() == CallPhase.WAITING) {
             ServiceState service = services.service(call.terms().service());
             if (service != null) {
                 service.waiting().remove(call);
             }
         }
+        if (!call.terms().key().isEmpty()) {
+            KeyState state = call.provablyNotRun() ? null : KeyState.UNKNOWN;
+            ownership.ended(call.identifier(), call.terms().key(), state, now);
+        }
         ledger.finish(call, sink);
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -1,6 +1,9 @@
 package org.chivecourse.coordination.decision;
 
+import java.util.List;
 import org.chivecourse.configuration.format.PrintedConfiguration;
+import org.chivecourse.state.key.KeyQuestion;
+import org.chivecourse.state.key.KeyReply;
 import org.chivecourse.state.peer.PeerDigest;
 
 /** Something that the transport has to do. */
@@ -83,6 +86,30 @@
      */
     record SendDigest(String address, PeerDigest digest) implements Decision {}
 
+    /**
+     * Ask other gateways for a key.
+     *
+     * @param addresses the addresses at which the other gateways listen
+     * @param question the question
+     */
+    record AskKey(List<String> addresses, KeyQuestion question) implements Decision {
+
+        /**
+         * Creates a decision whose addresses are copied.
+         */
+        public AskKey {
+            addresses = List.copyOf(addresses);
+        }
+    }
+
+    /**
+     * Reply to another gateway's question for a key.
+     *
+     * @param address the address at which the other gateway listens
+     * @param reply the reply
+     */
+    record ReplyKey(String address, KeyReply reply) implements Decision {}
+
     /**
      * Fetch a configuration from another gateway.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -26,6 +26,18 @@
     /** The request keeps coinciding with crashes of backend servers. */
     CONVICTED(422, "the request keeps coinciding with crashes of backend servers"),
 
+    /** A copy of the request was answered before. */
+    ANSWERED_BEFORE(409, "a copy of the request was answered before"),
+
+    /** A copy of the request is under way or may have run. */
+    COPY_HELD(409, "a copy of the request is under way or may have run"),
+
+    /** Whether a copy of the request ran on another host cannot be found out now. */
+    COPY_NOT_KNOWN(503, "whether a copy of the request ran on another host cannot be found out now"),
+
+    /** The key of the request is older than hosts remember. */
+    KEY_TOO_OLD(422, "the key of the request is older than hosts remember"),
+
     /** The deadline would pass before a backend server is free. */
     DEADLINE_UNREACHABLE(503, "the deadline would pass before a backend server is free"),
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import org.chivecourse.configuration.format.ReadConfiguration;
 import org.chivecourse.coordination.health.HealthAnswer;
+import org.chivecourse.state.key.KeyQuestion;
+import org.chivecourse.state.key.KeyReply;
 import org.chivecourse.state.peer.ListedHost;
 import org.chivecourse.state.peer.PeerDigest;
 import org.chivecourse.state.server.LoadReport;
@@ -131,6 +133,21 @@
      */
     record DigestArrived(PeerDigest digest) implements Event {}
 
+    /**
+     * Another gateway asks for a key.
+     *
+     * @param question the question
+     * @param address the address to reply to
+     */
+    record KeyAsked(KeyQuestion question, String address) implements Event {}
+
+    /**
+     * Another gateway replied to a question for a key.
+     *
+     * @param reply the reply
+     */
+    record KeyReplied(KeyReply reply) implements Event {}
+
     /**
      * A configuration could not be fetched from another gateway.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -10,6 +10,7 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.membership.Membership;
 import org.chivecourse.coordination.membership.PeerExchange;
+import org.chivecourse.coordination.ownership.KeyOwnership;
 import org.chivecourse.coordination.poison.PoisonRegister;
 
 /**
@@ -35,6 +36,9 @@
     /** The other gateways. */
     private final Membership membership;
 
+    /** The rule that the request of a key runs at most once over all hosts. */
+    private final KeyOwnership ownership;
+
     /** The exchange with the other gateways. */
     private final PeerExchange exchange;
 
@@ -52,9 +56,10 @@
      */
     public HostCore(HostSettings settings, RandomGenerator random) {
         services = new ServiceRegister(settings.expectedHosts());
-        calls = new CallCoordinator(settings, services, random);
-        serverWatch = new ServerWatch(services);
         membership = new Membership(settings, random);
+        ownership = new KeyOwnership(settings, membership);
+        calls = new CallCoordinator(settings, services, ownership, random);
+        serverWatch = new ServerWatch(services);
         exchange = new PeerExchange(settings, membership, configurations, services, calls.poison());
     }
 
@@ -66,6 +71,7 @@
      * @param sink receives the decisions that follow
      */
     public void handle(Event event, long now, DecisionSink sink) {
+        ownership.note(now);
         if (event instanceof Event.CallArrived arrived) {
             calls.arrive(arrived, serves(now), now, sink);
         } else if (event instanceof Event.AttemptReady ready) {
@@ -109,9 +115,13 @@
         } else if (event instanceof Event.ProbeEnded ended) {
             serverWatch.probeEnded(ended, now);
         } else if (event instanceof Event.HostsRead read) {
-            membership.list(read.hosts());
+            membership.list(read.hosts(), now);
         } else if (event instanceof Event.DigestArrived arrived) {
             exchange.heard(arrived.digest(), now, sink);
+        } else if (event instanceof Event.KeyAsked asked) {
+            calls.keyed().asked(asked, now, sink);
+        } else if (event instanceof Event.KeyReplied replied) {
+            calls.keyed().replied(replied, now, sink);
         } else if (event instanceof Event.PullFailed) {
             exchange.pullEnded();
         } else if (event instanceof Event.StopAsked) {
@@ -193,6 +203,15 @@
         return services;
     }
 
+    /**
+     * Returns the rule that the request of a key runs at most once over all hosts.
+     *
+     * @return the ownership of keys
+     */
+    public KeyOwnership ownership() {
+        return ownership;
+    }
+
     /**
      * Returns the other gateways.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
@@ -10,6 +10,7 @@
  * @param expectedHosts the largest number of hosts that may run gateways at the same time
  * @param exchanges whether the gateway exchanges digests with others
  * @param incarnation the number of the gateway's life, higher for a later one
+ * @param keys the bounds on idempotency keys
  * @param policy the way to choose a backend server
  * @param largestCalls the number of calls that the host holds at the same time
  */
@@ -19,6 +20,7 @@
         int expectedHosts,
         boolean exchanges,
         long incarnation,
+        KeyLimits keys,
         ChoicePolicy policy,
         int largestCalls) {
 
@@ -32,6 +34,19 @@
      * @param largestCalls the number of calls that the host holds at the same time
      */
     public HostSettings(String name, String dataCentre, int expectedHosts, ChoicePolicy policy, int largestCalls) {
-        this(name, dataCentre, expectedHosts, false, 1, policy, largestCalls);
+        this(name, dataCentre, expectedHosts, false, 1, KeyLimits.DEFAULT, policy, largestCalls);
+    }
+
+    /**
+     * The bounds on idempotency keys.
+     *
+     * @param lifetimeNanoseconds the time for which a key is remembered after its call, in nanoseconds; callers send no
+     *     copy of a request later than that
+     * @param largestNumber the largest number of keys that are remembered
+     */
+    public record KeyLimits(long lifetimeNanoseconds, int largestNumber) {
+
+        /** The bounds where nothing else is said. */
+        public static final KeyLimits DEFAULT = new KeyLimits(60_000_000_000L, 100_000);
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/membership/Membership.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/membership/Membership.java
@@ -49,6 +49,9 @@
     /** The peers by name. */
     private final Map<String, PeerState> peers = new TreeMap<>();
 
+    /** The hosts that served callers without being listed, by name. */
+    private final Map<String, Unlisted> unlisted = new TreeMap<>();
+
     /** The peers that get a digest in the next rounds. */
     private final List<PeerState> turns = new ArrayList<>();
 
@@ -79,8 +82,9 @@
      * Takes the host list over; hosts that it no longer names are no peers any more.
      *
      * @param hosts the hosts
+     * @param now the time in nanoseconds
      */
-    public void list(List<ListedHost> hosts) {
+    public void list(List<ListedHost> hosts, long now) {
         listed = true;
         Map<String, PeerState> next = new TreeMap<>();
         for (ListedHost host : hosts) {
@@ -95,11 +99,54 @@
             }
             next.put(host.name(), known);
         }
+        peers.forEach((name, peer) -> {
+            if (!next.containsKey(name)) {
+                serves(name, peer.host().address(), now);
+            }
+        });
         peers.clear();
         peers.putAll(next);
         turns.clear();
     }
 
+    /**
+     * Notes that a host serves callers, or did until now, whether it is listed or not.
+     *
+     * @param name the name of the host
+     * @param address the address at which its gateway listens for other gateways
+     * @param now the time in nanoseconds
+     */
+    public void serves(String name, String address, long now) {
+        unlisted.put(name, new Unlisted(new ListedHost(name, address, "", false), now));
+    }
+
+    /**
+     * Returns whether the host list was read.
+     *
+     * @return {@code true} after the first time
+     */
+    public boolean listed() {
+        return listed;
+    }
+
+    /**
+     * Returns all hosts that serve callers as far as this one can know.
+     *
+     * @param now the time in nanoseconds
+     * @return the listed hosts, and others that were noted within the lifetime of keys
+     */
+    public List<ListedHost> mayServe(long now) {
+        List<ListedHost> hosts = new ArrayList<>();
+        peers.values().forEach(peer -> hosts.add(peer.host()));
+        unlisted.values().removeIf(other -> now - other.at() >= settings.keys().lifetimeNanoseconds());
+        unlisted.forEach((name, other) -> {
+            if (!peers.containsKey(name) && !name.equals(settings.name())) {
+                hosts.add(other.host());
+            }
+        });
+        return hosts;
+    }
+
     /**
      * Takes a digest.
      *
@@ -219,4 +266,12 @@
     public Collection<PeerState> peers() {
         return peers.values();
     }
+
+    /**
+     * A host that served callers without being listed.
+     *
+     * @param host the host
+     * @param at the time in nanoseconds
+     */
+    private record Unlisted(ListedHost host, long at) {}
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/PeerCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/PeerCodec.java
@@ -5,8 +5,16 @@
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
+import org.chivecourse.coordination.event.Event;
 import org.chivecourse.protocol.peer.generated.ConvictionMessage;
 import org.chivecourse.protocol.peer.generated.DigestMessage;
+import org.chivecourse.protocol.peer.generated.KeyQuestionMessage;
+import org.chivecourse.protocol.peer.generated.KeyReplyMessage;
+import org.chivecourse.protocol.peer.generated.KeyVerdictMessage;
+import org.chivecourse.protocol.peer.generated.PeerMessage;
+import org.chivecourse.state.key.KeyQuestion;
+import org.chivecourse.state.key.KeyReply;
+import org.chivecourse.state.key.KeyVerdict;
 import org.chivecourse.state.peer.PeerDigest;
 
 /** Prints and reads the datagrams between gateways. */
@@ -44,7 +52,6 @@
      */
     public byte[] print(PeerDigest digest) {
         DigestMessage.Builder message = DigestMessage.newBuilder()
-                .setVersion(VERSION)
                 .setName(digest.name())
                 .setIncarnation(digest.incarnation())
                 .setSequence(digest.sequence())
@@ -57,30 +64,134 @@
                 .forEach((fingerprint, seconds) -> message.addConvictions(ConvictionMessage.newBuilder()
                         .setFingerprint(fingerprint)
                         .setSeconds(seconds)));
-        return seal.close(message.build().toByteArray());
+        return seal(PeerMessage.newBuilder().setDigest(message));
+    }
+
+    /**
+     * Prints a question.
+     *
+     * @param question the question
+     * @return the datagram
+     */
+    public byte[] print(KeyQuestion question) {
+        return seal(PeerMessage.newBuilder()
+                .setKeyQuestion(KeyQuestionMessage.newBuilder()
+                        .setName(question.name())
+                        .setIncarnation(question.incarnation())
+                        .setRound(question.round())
+                        .setKey(question.key())
+                        .setAgeNanoseconds(question.ageNanoseconds())));
+    }
+
+    /**
+     * Prints a reply.
+     *
+     * @param reply the reply
+     * @return the datagram
+     */
+    public byte[] print(KeyReply reply) {
+        KeyVerdictMessage verdict =
+                switch (reply.verdict()) {
+                    case FREE -> KeyVerdictMessage.KEY_FREE;
+                    case HELD -> KeyVerdictMessage.KEY_HELD;
+                    default -> KeyVerdictMessage.KEY_NOT_KNOWN;
+                };
+        return seal(PeerMessage.newBuilder()
+                .setKeyReply(KeyReplyMessage.newBuilder()
+                        .setName(reply.name())
+                        .setIncarnation(reply.incarnation())
+                        .setRound(reply.round())
+                        .setKey(reply.key())
+                        .setVerdict(verdict)));
+    }
+
+    /**
+     * Seals a message.
+     *
+     * @param message the message without its version
+     * @return the datagram
+     */
+    private byte[] seal(PeerMessage.Builder message) {
+        return seal.close(message.setVersion(VERSION).build().toByteArray());
     }
 
     /**
      * Reads a datagram.
      *
      * @param datagram the datagram
-     * @return the digest
+     * @param sender the address that it came from
+     * @return what it tells the decision core
      * @throws PeerMessageException if the datagram is malformed, oversized, forged or of another version
      */
-    public PeerDigest read(byte[] datagram) throws PeerMessageException {
+    public Event read(byte[] datagram, String sender) throws PeerMessageException {
         if (datagram.length > LARGEST_DATAGRAM_BYTES) {
             throw new PeerMessageException("datagram of " + datagram.length + " bytes is too large");
         }
-        DigestMessage message;
+        PeerMessage message;
         try {
-            message = DigestMessage.parseFrom(seal.open(datagram));
+            message = PeerMessage.parseFrom(seal.open(datagram));
         } catch (InvalidProtocolBufferException exception) {
             throw new PeerMessageException("datagram is malformed: " + exception.getMessage());
         }
         if (message.getVersion() != VERSION) {
             throw new PeerMessageException("datagram has version " + message.getVersion());
         }
-        return digest(message);
+        return switch (message.getBodyCase()) {
+            case DIGEST -> new Event.DigestArrived(digest(message.getDigest()));
+            case KEY_QUESTION -> new Event.KeyAsked(question(message.getKeyQuestion()), sender);
+            case KEY_REPLY -> new Event.KeyReplied(reply(message.getKeyReply()));
+            default -> throw new PeerMessageException("datagram has no body that is known");
+        };
+    }
+
+    /**
+     * Returns the question of a message.
+     *
+     * @param message the message
+     * @return the question
+     * @throws PeerMessageException if a value is not allowed
+     */
+    private static KeyQuestion question(KeyQuestionMessage message) throws PeerMessageException {
+        checkNames(message.getName(), message.getKey());
+        return new KeyQuestion(
+                message.getName(),
+                message.getIncarnation(),
+                message.getRound(),
+                message.getKey(),
+                message.getAgeNanoseconds());
+    }
+
+    /**
+     * Returns the reply of a message.
+     *
+     * @param message the message
+     * @return the reply
+     * @throws PeerMessageException if a value is not allowed
+     */
+    private static KeyReply reply(KeyReplyMessage message) throws PeerMessageException {
+        checkNames(message.getName(), message.getKey());
+        KeyVerdict verdict =
+                switch (message.getVerdict()) {
+                    case KEY_FREE -> KeyVerdict.FREE;
+                    case KEY_HELD -> KeyVerdict.HELD;
+                    default -> KeyVerdict.NOT_KNOWN;
+                };
+        return new KeyReply(message.getName(), message.getIncarnation(), message.getRound(), message.getKey(), verdict);
+    }
+
+    /**
+     * Refuses a message without a host or a key.
+     *
+     * @param name the name of the host
+     * @param key the key
+     * @throws PeerMessageException if one is missing or too long
+     */
+    private static void checkNames(String name, String key) throws PeerMessageException {
+        boolean allowed =
+                !name.isEmpty() && name.length() <= LONGEST_NAME && !key.isEmpty() && key.length() <= LONGEST_NAME;
+        if (!allowed) {
+            throw new PeerMessageException("datagram of host \"" + name + "\" holds impossible values");
+        }
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/CallPhase.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/CallPhase.java
@@ -2,6 +2,9 @@
 
 /** The phases of a call. */
 public enum CallPhase {
+    /** Other hosts are asked whether they know the key of the call. */
+    ASKING,
+
     /** The call waits for a backend server. */
     WAITING,
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
@@ -15,6 +15,7 @@
 import org.chivecourse.protocol.http.BadRequestException;
 import org.chivecourse.protocol.http.Fingerprint;
 import org.chivecourse.protocol.http.HeaderNames;
+import org.chivecourse.protocol.http.KeyAge;
 import org.chivecourse.protocol.http.RequestTarget;
 import reactor.core.publisher.Flux;
 import reactor.netty.http.server.HttpServerRequest;
@@ -83,6 +84,7 @@
                 depth,
                 held != null,
                 key,
+                KeyAge.nanoseconds(key, System.currentTimeMillis()),
                 Fingerprint.of(method, target.forwarded(), key, held));
         boolean chunked = held == null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH);
         return new CallerRequest(
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
@@ -13,7 +13,6 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.chivecourse.coordination.decision.Decision;
-import org.chivecourse.coordination.event.Event;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.PeerMessageException;
 import org.chivecourse.transport.driver.CoreDriver;
@@ -103,7 +102,12 @@
      */
     public boolean perform(Decision decision) {
         if (decision instanceof Decision.SendDigest send) {
-            send(send);
+            send(codec.print(send.digest()), send.address());
+        } else if (decision instanceof Decision.AskKey ask) {
+            byte[] question = codec.print(ask.question());
+            ask.addresses().forEach(to -> send(question, to));
+        } else if (decision instanceof Decision.ReplyKey reply) {
+            send(codec.print(reply.reply()), reply.address());
         } else if (decision instanceof Decision.PullConfiguration pull) {
             stream.fetch(pull);
         } else {
@@ -113,18 +117,18 @@
     }
 
     /**
-     * Sends a digest.
+     * Sends a datagram.
      *
-     * @param send the decision
+     * @param datagram the datagram
+     * @param address the address to send it to
      */
-    private void send(Decision.SendDigest send) {
-        byte[] datagram = codec.print(send.digest());
+    private void send(byte[] datagram, String address) {
         if (datagram.length > PeerCodec.LARGEST_DATAGRAM_BYTES) {
-            LOGGER.errorf("a digest of %d bytes is too large to send", datagram.length);
+            LOGGER.errorf("a datagram of %d bytes is too large to send", datagram.length);
             return;
         }
         metrics.sent(datagram.length);
-        InetSocketAddress unresolved = BackendConnections.address(send.address());
+        InetSocketAddress unresolved = BackendConnections.address(address);
         InetSocketAddress to = new InetSocketAddress(unresolved.getHostString(), unresolved.getPort());
         channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to));
     }
@@ -138,7 +142,9 @@
             packet.content().readBytes(datagram);
             metrics.received(datagram.length);
             try {
-                driver.handle(new Event.DigestArrived(codec.read(datagram)));
+                InetSocketAddress sender = packet.sender();
+                String text = sender.getAddress().getHostAddress() + ":" + sender.getPort();
+                driver.handle(codec.read(datagram, text));
             } catch (PeerMessageException exception) {
                 metrics.dropped();
                 LOGGER.debugf("datagram of %s was dropped: %s", packet.sender(), exception.getMessage());
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/membership/PeerExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/membership/PeerExchangeTest.java
@@ -204,7 +204,8 @@
         int index = Integer.parseInt(name.substring(name.indexOf('-') + 1));
         String dataCentre = "si-" + (char) ('a' + index % 3);
         return WatcherRule.INSTANCE.watches(
-                new HostSettings(name, dataCentre, FLEET, true, 1, ChoicePolicy.RANDOM, 1),
+                new HostSettings(
+                        name, dataCentre, FLEET, true, 1, HostSettings.KeyLimits.DEFAULT, ChoicePolicy.RANDOM, 1),
                 network.core(name).membership(),
                 network.now());
     }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/membership/PeerNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/membership/PeerNetwork.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import org.chivecourse.configuration.format.ConfigurationReader;
 import org.chivecourse.configuration.format.ConfigurationWriter;
@@ -26,9 +27,9 @@
 import org.chivecourse.state.peer.ListedHost;
 
 /** Decision cores of several hosts whose messages a test delays, loses and cuts off, on virtual time. */
-final class PeerNetwork {
+public final class PeerNetwork {
 
-    static final long MILLISECOND = 1_000_000;
+    public static final long MILLISECOND = 1_000_000;
 
     private static final long TICK = 5 * MILLISECOND;
 
@@ -52,6 +53,10 @@
 
     private BiPredicate<String, String> connected = (from, to) -> true;
 
+    private final HostSettings.KeyLimits keys;
+
+    private BiConsumer<String, Decision> observer = (name, decision) -> {};
+
     private double loss;
 
     private long incarnations;
@@ -60,7 +65,12 @@
 
     private record Message(long at, String from, String to, Event event) {}
 
-    PeerNetwork(int size, long seed) {
+    public PeerNetwork(int size, long seed) {
+        this(size, seed, HostSettings.KeyLimits.DEFAULT);
+    }
+
+    public PeerNetwork(int size, long seed, HostSettings.KeyLimits keys) {
+        this.keys = keys;
         random = new SplittableRandom(seed);
         for (int index = 0; index < size; index++) {
             String name = "host-" + index;
@@ -70,10 +80,10 @@
     }
 
     /** Starts a host with an empty memory, in place of the one that ran there. */
-    void start(String name) {
+    public void start(String name) {
         ListedHost host = host(name);
         HostSettings settings = new HostSettings(
-                name, host.dataCentre(), hosts.size(), true, ++incarnations, ChoicePolicy.LEAST_ESTIMATE, 1000);
+                name, host.dataCentre(), hosts.size(), true, ++incarnations, keys, ChoicePolicy.LEAST_ESTIMATE, 1000);
         cores.put(name, new HostCore(settings, random.split()));
         highest.put(name, 0L);
         tell(name, new Event.HostsRead(hosts));
@@ -86,31 +96,36 @@
                 .orElseThrow();
     }
 
-    HostCore core(String name) {
+    public HostCore core(String name) {
         return cores.get(name);
     }
 
-    Set<String> names() {
+    public Set<String> names() {
         return cores.keySet();
     }
 
-    void lose(double share) {
+    /** Sets who sees the decisions that concern no other host. */
+    public void observe(BiConsumer<String, Decision> who) {
+        observer = who;
+    }
+
+    public void lose(double share) {
         loss = share;
     }
 
-    void connect(BiPredicate<String, String> pairs) {
+    public void connect(BiPredicate<String, String> pairs) {
         connected = pairs;
     }
 
-    void pause(String name) {
+    public void pause(String name) {
         paused.add(name);
     }
 
-    void wake(String name) {
+    public void wake(String name) {
         paused.remove(name);
     }
 
-    long now() {
+    public long now() {
         return now;
     }
 
@@ -124,15 +139,15 @@
         }
     }
 
-    static ReadConfiguration configuration(long revision) {
+    public static ReadConfiguration configuration(long revision) {
         return configuration(revision, CoreHarness.jobs(3));
     }
 
-    void read(String name, ReadConfiguration configuration) {
+    public void read(String name, ReadConfiguration configuration) {
         tell(name, new Event.ConfigurationRead(configuration, "service"));
     }
 
-    void tell(String name, Event event) {
+    public void tell(String name, Event event) {
         List<Decision> decisions = new ArrayList<>();
         cores.get(name).handle(event, now, decisions::add);
         decisions.forEach(decision -> perform(name, decision));
@@ -149,6 +164,12 @@
             send(from, send.address(), new Event.DigestArrived(send.digest()));
         } else if (decision instanceof Decision.PullConfiguration pull) {
             pull(from, pull);
+        } else if (decision instanceof Decision.AskKey ask) {
+            ask.addresses().forEach(to -> send(from, to, new Event.KeyAsked(ask.question(), from)));
+        } else if (decision instanceof Decision.ReplyKey reply) {
+            send(from, reply.address(), new Event.KeyReplied(reply.reply()));
+        } else {
+            observer.accept(from, decision);
         }
     }
 
@@ -174,7 +195,7 @@
     }
 
     /** Lets time pass; a paused host gets neither ticks nor, since datagrams overflow, most messages. */
-    void pass(long milliseconds) {
+    public void pass(long milliseconds) {
         long end = now + milliseconds * MILLISECOND;
         while (now < end) {
             now += TICK;
--- a/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/PeerCodecTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/PeerCodecTest.java
@@ -9,7 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.chivecourse.coordination.event.Event;
 import org.chivecourse.protocol.peer.generated.DigestMessage;
+import org.chivecourse.protocol.peer.generated.PeerMessage;
+import org.chivecourse.state.key.KeyQuestion;
+import org.chivecourse.state.key.KeyReply;
+import org.chivecourse.state.key.KeyVerdict;
 import org.chivecourse.state.peer.PeerDigest;
 import org.junit.jupiter.api.Test;
 
@@ -18,14 +23,23 @@
     private static final PeerDigest DIGEST =
             new PeerDigest("host-1", 7, 8, 9, "ab".repeat(32), true, true, List.of("10.0.0.1:80"), Map.of(-5L, 60));
 
+    private static final KeyQuestion QUESTION = new KeyQuestion("host-1", 7, 3, "key", -1);
+
+    private static final String SENDER = "10.0.0.1:80";
+
     private final PeerCodec open = new PeerCodec(Seal.Disabled.INSTANCE);
 
     private final PeerCodec sealed = new PeerCodec(new Seal.ForSharedKey("secret".getBytes(StandardCharsets.UTF_8)));
 
     @Test
     void readsBackWhatItPrints() throws Exception {
-        assertThat(open.read(open.print(DIGEST)), equalTo(DIGEST));
-        assertThat(sealed.read(sealed.print(DIGEST)), equalTo(DIGEST));
+        assertThat(open.read(open.print(DIGEST), SENDER), equalTo(new Event.DigestArrived(DIGEST)));
+        assertThat(sealed.read(sealed.print(DIGEST), SENDER), equalTo(new Event.DigestArrived(DIGEST)));
+        assertThat(open.read(open.print(QUESTION), SENDER), equalTo(new Event.KeyAsked(QUESTION, SENDER)));
+        for (KeyVerdict verdict : KeyVerdict.values()) {
+            KeyReply reply = new KeyReply("host-2", 7, 3, "key", verdict);
+            assertThat(open.read(open.print(reply), SENDER), equalTo(new Event.KeyReplied(reply)));
+        }
     }
 
     @Test
@@ -48,8 +62,7 @@
 
     @Test
     void refusesADatagramOfAnotherVersion() {
-        byte[] later =
-                DigestMessage.newBuilder().setVersion(2).setName("a").build().toByteArray();
+        byte[] later = PeerMessage.newBuilder().setVersion(2).build().toByteArray();
         refuses(open, later, "version 2");
     }
 
@@ -60,15 +73,10 @@
 
     @Test
     void refusesImpossibleValues() {
-        byte[] nameless = DigestMessage.newBuilder().setVersion(1).build().toByteArray();
-        refuses(open, nameless, "impossible");
-        byte[] negative = DigestMessage.newBuilder()
-                .setVersion(1)
-                .setName("a")
-                .setRevision(-1)
-                .build()
-                .toByteArray();
-        refuses(open, negative, "impossible");
+        refuses(open, print(DigestMessage.newBuilder()), "impossible");
+        refuses(open, print(DigestMessage.newBuilder().setName("a").setRevision(-1)), "impossible");
+        refuses(open, open.print(new KeyQuestion("host-1", 7, 3, "", -1)), "impossible");
+        refuses(open, PeerMessage.newBuilder().setVersion(1).build().toByteArray(), "no body");
     }
 
     @Test
@@ -82,7 +90,7 @@
                 bytes[round % 2 == 0 ? change : random.nextInt(bytes.length)] = (byte) random.nextInt();
             }
             try {
-                open.read(bytes);
+                open.read(bytes, SENDER);
             } catch (PeerMessageException exception) {
                 assertThat(exception.getMessage().isEmpty(), equalTo(false));
             }
@@ -96,8 +104,12 @@
         assertThat(thrown.getMessage(), containsString("larger than 999"));
     }
 
+    private static byte[] print(DigestMessage.Builder digest) {
+        return PeerMessage.newBuilder().setVersion(1).setDigest(digest).build().toByteArray();
+    }
+
     private static void refuses(PeerCodec codec, byte[] datagram, String problem) {
-        PeerMessageException thrown = assertThrows(PeerMessageException.class, () -> codec.read(datagram));
+        PeerMessageException thrown = assertThrows(PeerMessageException.class, () -> codec.read(datagram, SENDER));
         assertThat(thrown.getMessage(), containsString(problem));
     }
 }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -137,6 +137,7 @@
                 settings.expectedHosts(),
                 settings.peers() != null,
                 incarnation(clock, seed),
+                settings.keys(),
                 settings.choice(),
                 settings.largestCalls());
         recorder = new TraceRecorder(host, seed, settings.traceSteps());
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.host.HostSettings.KeyLimits;
 import org.chivecourse.transport.http.HttpSettings;
 
 /**
@@ -19,6 +20,7 @@
  * @param choice the way to choose a backend server
  * @param http the bounds on connections
  * @param largestCalls the number of calls that the gateway holds at the same time
+ * @param keys the bounds on idempotency keys
  * @param traceSteps the number of steps of the decision core that are kept for operators
  * @param drain the times of a stop
  * @param backendTrust the file with the certificates that backend servers are trusted by, empty for plain connections
@@ -35,6 +37,7 @@
         ChoicePolicy choice,
         HttpSettings http,
         int largestCalls,
+        KeyLimits keys,
         int traceSteps,
         Drain drain,
         String backendTrust) {
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -4,11 +4,13 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.chivecourse.configuration.document.Document;
 import org.chivecourse.configuration.document.DocumentException;
 import org.chivecourse.configuration.document.MappingReader;
 import org.chivecourse.configuration.rule.Address;
 import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.host.HostSettings.KeyLimits;
 import org.chivecourse.gateway.settings.GatewaySettings.Drain;
 import org.chivecourse.gateway.settings.GatewaySettings.Endpoint;
 import org.chivecourse.gateway.settings.GatewaySettings.Peers;
@@ -84,6 +86,7 @@
                 reader.choice("choice", ChoicePolicy.class, ChoicePolicy.LEAST_ESTIMATE),
                 reader.has("http") ? http(reader.mapping("http")) : HttpSettings.DEFAULT,
                 (int) reader.integer("largest-calls", 1, LARGEST_CALLS, 10_000),
+                reader.has("keys") ? keys(reader.mapping("keys")) : KeyLimits.DEFAULT,
                 (int) reader.integer("trace-steps", 0, LARGEST_TRACE_STEPS, 2_000),
                 drain(reader.mapping("drain")),
                 file(reader, "backend-trust"));
@@ -203,6 +206,24 @@
         return settings;
     }
 
+    /**
+     * Reads the bounds on idempotency keys.
+     *
+     * @param reader the reader of the bounds
+     * @return the bounds
+     * @throws DocumentException if a value is not allowed
+     */
+    private static KeyLimits keys(MappingReader reader) throws DocumentException {
+        KeyLimits defaults = KeyLimits.DEFAULT;
+        long lifetime = TimeUnit.NANOSECONDS.toMillis(defaults.lifetimeNanoseconds());
+        KeyLimits limits = new KeyLimits(
+                TimeUnit.MILLISECONDS.toNanos(
+                        reader.integer("lifetime-milliseconds", 1, LONGEST_MILLISECONDS, lifetime)),
+                (int) reader.integer("largest-number", 1, LARGEST_CALLS, defaults.largestNumber()));
+        reader.finish();
+        return limits;
+    }
+
     /**
      * Reads the times of a stop.
      *
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
@@ -58,6 +58,8 @@
                 "largest-calls: 10000 | largest-calls: -1 | largest-calls | 1 to 1000000",
                 "trace-steps: 2000 | trace-steps: 2.5 | trace-steps | 0 to 1000000",
                 "trace-steps: 2000 | trace-step: 2000 | trace-step | unknown key",
+                "lifetime-milliseconds: 60000 | lifetime-milliseconds: 0 | keys.lifetime-milliseconds | 1 to 3600000",
+                "largest-number: 100000 | largest-number: none | keys.largest-number | 1 to 1000000",
                 "header-bytes: 16384 | header-bytes: 10 | http.largest-header-bytes | 1024 to",
                 "body-bytes: 1073741824 | body-bytes: 1G | http.largest-body-bytes | an integer",
                 "replay-bytes: 65536 | replay-bytes: 9999999 | http.replay-bytes | 0 to 1048576",
