--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/audit/AuditTrail.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/audit/AuditTrail.java
@@ -6,8 +6,7 @@
 import java.util.List;
 import org.chivecourse.configuration.document.MappingReader;
 import org.chivecourse.coordination.decision.Decision;
-import org.jboss.logging.Logger;
-import org.jboss.logging.MDC;
+import org.chivecourse.gateway.log.GatewayLog;
 
 /** Writes each change to the log and keeps the latest in memory. */
 public final class AuditTrail {
@@ -18,15 +17,15 @@
     /** The actor of changes that the gateway decides. */
     private static final String GATEWAY = "gateway";
 
-    /** The log of changes. */
-    private static final Logger LOGGER = Logger.getLogger("org.chivecourse.audit");
-
     /** The name of the host. */
     private final String host;
 
     /** Tells the time. */
     private final Clock clock;
 
+    /** Receives changes. */
+    private final GatewayLog log;
+
     /** The latest changes, the newest last. */
     private final Deque<AuditRecord> latest = new ArrayDeque<>();
 
@@ -35,8 +34,10 @@
      *
      * @param host the name of the host
      * @param clock tells the time
+     * @param log receives changes
      */
-    public AuditTrail(String host, Clock clock) {
+    public AuditTrail(String host, Clock clock, GatewayLog log) {
+        this.log = log;
         this.host = host;
         this.clock = clock;
     }
@@ -79,16 +80,7 @@
             latest.removeFirst();
         }
         latest.addLast(change);
-        MDC.put("host", change.host());
-        MDC.put("actor", change.actor());
-        MDC.put("subject", change.subject());
-        MDC.put("name", change.name());
-        MDC.put("from", change.from());
-        MDC.put("to", change.to());
-        MDC.put("cause", change.cause());
-        MDC.put("revision", Long.toString(change.revision()));
-        LOGGER.infof("%s %s: %s", change.subject(), change.name(), change.to());
-        MDC.clear();
+        log.changed(change);
     }
 
     /**
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -3,23 +3,29 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.SplittableRandom;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.model.RefusalSignal;
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.host.FleetSettings;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.gateway.audit.AuditTrail;
+import org.chivecourse.gateway.environment.GatewayEnvironment;
+import org.chivecourse.gateway.environment.PublicationReader;
 import org.chivecourse.gateway.operator.MetricsPrinter;
 import org.chivecourse.gateway.operator.OperatorListener;
 import org.chivecourse.gateway.operator.StatusPrinter;
@@ -28,7 +34,6 @@
 import org.chivecourse.gateway.tls.TlsException;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.Seal;
-import org.chivecourse.protocol.platform.PlatformProtocol;
 import org.chivecourse.protocol.trace.TraceFormat;
 import org.chivecourse.protocol.trace.TraceRecorder;
 import org.chivecourse.transport.driver.CoreDriver;
@@ -36,11 +41,12 @@
 import org.chivecourse.transport.http.CallerListener;
 import org.chivecourse.transport.http.ExchangeMetrics;
 import org.chivecourse.transport.http.ExchangeRegister;
+import org.chivecourse.transport.http.HttpSettings;
 import org.chivecourse.transport.http.ServerLooks;
 import org.chivecourse.transport.peer.PeerEndpoint;
 import org.chivecourse.transport.peer.PeerMetrics;
-import org.chivecourse.transport.platform.PlatformWatch;
 import org.jboss.logging.Logger;
+import reactor.netty.resources.LoopResources;
 
 /** A gateway: takes callers' requests, has the decision core choose backend servers, and passes answers back. */
 public final class Gateway {
@@ -51,12 +57,18 @@
     /** The time between two looks at open exchanges during a stop, in milliseconds. */
     private static final long STOP_POLL_MILLISECONDS = 5;
 
+    /** The time between two ticks of a gateway whose backend servers announce themselves, in nanoseconds. */
+    private static final long FLEET_TICK_NANOSECONDS = 10_000_000L;
+
     /** The number of lives that are told apart within a millisecond. */
     private static final long LIVES_PER_MILLISECOND = 1000;
 
     /** The settings. */
     private final GatewaySettings settings;
 
+    /** The threads that connections run on. */
+    private final EventLoopGroup group;
+
     /** The driver of the decision core. */
     private final CoreDriver driver;
 
@@ -75,11 +87,11 @@
     /** The listener for operators. */
     private final OperatorListener operators;
 
-    /** The watch of the configuration service. */
-    private final PlatformWatch configurationWatch;
+    /** The watches of the configuration service and the host list. */
+    private final PlatformFeeds feeds;
 
-    /** The watch of the host list. */
-    private final PlatformWatch hostListWatch;
+    /** The reader of published items. */
+    private final PublicationReader publication;
 
     /** The exchange with other gateways, {@code null} if there is none. */
     private final PeerEndpoint peers;
@@ -90,21 +102,14 @@
     /** Keeps the latest steps of the decision core. */
     private final TraceRecorder recorder;
 
-    /** What is known of the platform's replicas. */
-    private final PlatformContacts contacts;
-
     /** The TLS context of callers' connections. */
     private final ReloadingTls callerTls;
 
     /** The TLS context of connections to backend servers. */
     private final ReloadingTls backendTls;
 
-    /** Tells the core that time passes. */
-    private final ScheduledExecutorService ticks = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "ticks");
-        thread.setDaemon(true);
-        return thread;
-    });
+    /** Notices that the process did not run. */
+    private final Pauses pauses;
 
     /** The state of the gateway. */
     private volatile GatewayState state = GatewayState.STARTING;
@@ -113,7 +118,7 @@
     private volatile boolean hurry;
 
     /**
-     * Creates a gateway that is not started.
+     * Creates a gateway that is not started, with the product's own header fields and platform services.
      *
      * @param settings the settings
      * @param seed the seed of the source of randomness
@@ -121,6 +126,20 @@
      * @throws GatewayException if the TLS files cannot be used
      */
     public Gateway(GatewaySettings settings, long seed, Clock clock) throws GatewayException {
+        this(settings, seed, clock, GatewayEnvironment.Default.INSTANCE);
+    }
+
+    /**
+     * Creates a gateway that is not started.
+     *
+     * @param settings the settings
+     * @param seed the seed of the source of randomness
+     * @param clock tells the time of changes
+     * @param environment what an adapter to a platform supplies
+     * @throws GatewayException if the TLS files cannot be used
+     */
+    public Gateway(GatewaySettings settings, long seed, Clock clock, GatewayEnvironment environment)
+            throws GatewayException {
         this.settings = settings;
         try {
             callerTls = ReloadingTls.server(
@@ -129,46 +148,79 @@
         } catch (TlsException exception) {
             throw new GatewayException(exception.getMessage(), exception);
         }
-        audit = new AuditTrail(settings.name(), clock);
-        contacts = new PlatformContacts(clock);
-        HostSettings host = new HostSettings(
-                settings.name(),
-                settings.dataCentre(),
-                settings.expectedHosts(),
-                settings.peers() != null,
-                incarnation(clock, seed),
-                settings.keys(),
-                settings.choice(),
-                settings.largestCalls());
+        group = new MultiThreadIoEventLoopGroup(
+                settings.threads(), new DefaultThreadFactory("gateway", true), NioIoHandler.newFactory());
+        LoopResources loops = useNative -> group;
+        pauses = new Pauses(clock, System.nanoTime());
+        audit = new AuditTrail(settings.name(), clock, environment.log());
+        HostSettings host = hostSettings(settings, seed, clock);
         recorder = new TraceRecorder(host, seed, settings.traceSteps());
-        driver = new CoreDriver(new HostCore(host, new SplittableRandom(seed)), recorder);
-        connections = new BackendConnections(settings.expectedHosts(), settings.http(), backendTls::context);
+        driver = new CoreDriver(new HostCore(host, new SplittableRandom(seed), environment.decoder()), recorder);
+        connections =
+                new BackendConnections(settings.expectedHosts(), httpSettings(settings), backendTls::context, loops);
         MetricRegistry metrics = new MetricRegistry();
-        exchanges = new ExchangeRegister(driver, connections, new ExchangeMetrics(metrics));
-        looks = new ServerLooks(driver, connections);
+        exchanges = new ExchangeRegister(
+                driver, connections, new ExchangeMetrics(metrics), environment.dialect(), environment.log());
+        Duration probeTimeout = settings.fleet() == null
+                ? ServerLooks.TIMEOUT
+                : settings.fleet().connectTimeout().multipliedBy(2);
+        looks = new ServerLooks(driver, connections, environment.dialect(), probeTimeout);
         callers = new CallerListener(
-                listening(settings.callers().address()), settings.http(), callerTls::context, driver, exchanges);
+                listening(settings.callers().address()), settings.http(), callerTls::context, driver, exchanges, loops);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::open);
         operators = new OperatorListener(
                 listening(settings.operators().address()),
                 this::ready,
                 this::status,
                 new MetricsPrinter(metrics),
-                this::trace);
-        configurationWatch = new PlatformWatch(
-                settings.configurationService(),
-                PlatformProtocol.CONFIGURATION_PATH,
-                new ConfigurationFeed(driver, contacts),
-                new SplittableRandom(seed));
-        hostListWatch = new PlatformWatch(
-                settings.hostList(),
-                PlatformProtocol.HOSTS_PATH,
-                new HostListFeed(driver, contacts),
-                new SplittableRandom(seed + 1));
+                this::trace,
+                loops);
+        feeds = new PlatformFeeds(settings, driver, seed, clock);
+        publication = environment.reader(settings, driver, loops);
         peers = settings.peers() == null ? null : peerEndpoint(metrics);
         driver.perform(this::perform);
     }
 
+    /**
+     * Returns what the decision core knows of its host.
+     *
+     * @param settings the settings
+     * @param seed tells lives of the same millisecond apart
+     * @param clock tells the time
+     * @return the settings of the core
+     */
+    private static HostSettings hostSettings(GatewaySettings settings, long seed, Clock clock) {
+        FleetSettings fleet = settings.fleet() == null
+                ? FleetSettings.NONE
+                : new FleetSettings(
+                        settings.peers().address(),
+                        settings.fleet().seeds(),
+                        settings.fleet().repeats(),
+                        settings.fleet().probeInterval().toNanos());
+        return new HostSettings(
+                settings.name(),
+                settings.dataCentre(),
+                settings.expectedHosts(),
+                settings.peers() != null,
+                incarnation(clock, seed),
+                settings.keys(),
+                settings.choice(),
+                settings.largestCalls(),
+                fleet);
+    }
+
+    /**
+     * Returns the bounds on connections, with the shorter time to connect where backend servers announce themselves.
+     *
+     * @param settings the settings
+     * @return the bounds
+     */
+    private static HttpSettings httpSettings(GatewaySettings settings) {
+        return settings.fleet() == null
+                ? settings.http()
+                : settings.http().connectTimeout(settings.fleet().connectTimeout());
+    }
+
     /**
      * Returns the number of this life, which is higher than those of earlier ones on the same host.
      *
@@ -194,7 +246,7 @@
                     ? Seal.Disabled.INSTANCE
                     : new Seal.ForSharedKey(Files.readAllBytes(Path.of(keyFile)));
             InetSocketAddress address = listening(settings.peers().address());
-            return new PeerEndpoint(address, new PeerCodec(seal), driver, new PeerMetrics(metrics));
+            return new PeerEndpoint(address, new PeerCodec(seal), driver, new PeerMetrics(metrics), group);
         } catch (IOException exception) {
             throw new GatewayException("shared key \"" + keyFile + "\" cannot be read", exception);
         }
@@ -229,14 +281,13 @@
         } catch (IOException | RuntimeException exception) {
             throw new GatewayException("an address cannot be listened on: " + exception.getMessage(), exception);
         }
-        long tick = HostCore.TICK_NANOSECONDS;
-        ticks.scheduleAtFixedRate(this::tick, tick, tick, TimeUnit.NANOSECONDS);
-        long reload = ReloadingTls.INTERVAL.toMillis();
-        ticks.scheduleWithFixedDelay(this::reloadTls, reload, reload, TimeUnit.MILLISECONDS);
         state = GatewayState.RUNNING;
         audit.step("started", "start");
-        configurationWatch.start();
-        hostListWatch.start();
+        long tick = settings.fleet() == null ? HostCore.TICK_NANOSECONDS : FLEET_TICK_NANOSECONDS;
+        group.next().scheduleAtFixedRate(this::tick, 0, tick, TimeUnit.NANOSECONDS);
+        long reload = ReloadingTls.INTERVAL.toMillis();
+        group.next().scheduleWithFixedDelay(this::reloadTls, reload, reload, TimeUnit.MILLISECONDS);
+        feeds.start();
     }
 
     /**
@@ -244,6 +295,11 @@
      */
     private void tick() {
         try {
+            long paused = pauses.tick(System.nanoTime());
+            if (paused > 0) {
+                audit.step("resumed", "the process did not run for " + TimeUnit.NANOSECONDS.toMillis(paused) + " ms");
+                driver.handle(new Event.Resumed(paused));
+            }
             driver.handle(new Event.TimePassed());
         } catch (RuntimeException exception) {
             LOGGER.error("a tick failed", exception);
@@ -264,21 +320,36 @@
      * @param decision the decision
      */
     private void perform(Decision decision) {
-        if (exchanges.perform(decision) || looks.perform(decision) || peers != null && peers.perform(decision)) {
+        boolean done = exchanges.perform(decision)
+                || looks.perform(decision)
+                || publication.perform(decision)
+                || peers != null && peers.perform(decision);
+        if (done) {
             return;
         }
         if (decision instanceof Decision.Apply apply) {
             Configuration configuration = apply.configuration().configuration();
-            connections.apply(configuration);
             callers.refusals(
                     path -> configuration.serviceFor(path).map(Service::refusal).orElse(RefusalSignal.NONE));
+        } else if (decision instanceof Decision.UseServers use) {
+            connections.apply(use.servers());
         } else if (decision instanceof Decision.Watch watch) {
-            configurationWatch.withoutPause(watch.withoutPause());
+            feeds.watch(watch.withoutPause());
         } else if (decision instanceof Decision.Audit change) {
             audit.record(change.change());
         }
     }
 
+    /**
+     * Records a step of the process's own life.
+     *
+     * @param step the step
+     * @param cause why it happened
+     */
+    public void step(String step, String cause) {
+        audit.step(step, cause);
+    }
+
     /**
      * Returns whether the balancer may send callers here.
      *
@@ -306,11 +377,7 @@
         StatusPrinter printer = new StatusPrinter();
         ObjectNode status = driver.read(
                 core -> printer.status(settings.name(), state.toString(), core, System.nanoTime(), audit.latest()));
-        ObjectNode platform = status.putObject("platform");
-        contacts.all()
-                .forEach((address, contact) -> platform.putObject(address)
-                        .put("last-reached", contact.lastReached().toString())
-                        .put("failure", contact.failure()));
+        feeds.print(status);
         return status.toPrettyString();
     }
 
@@ -373,14 +440,14 @@
         callers.stop();
         waitUntil(start + settings.drain().deadline().toNanos(), true);
         int cut = exchanges.open();
-        configurationWatch.stop();
-        hostListWatch.stop();
+        feeds.stop();
+        publication.stop();
         if (peers != null) {
             peers.stop();
         }
-        ticks.shutdownNow();
         operators.stop();
         connections.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         state = GatewayState.STOPPED;
         audit.step("stopped", cut + " exchanges were cut");
         return cut;
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/GatewayProcess.java
@@ -0,0 +1,99 @@
+package org.chivecourse.gateway.daemon;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.gateway.environment.GatewayEnvironment;
+import org.chivecourse.gateway.log.GatewayLog;
+import org.chivecourse.gateway.log.JsonLineLog;
+import org.chivecourse.gateway.log.LibraryLogHandler;
+import org.chivecourse.gateway.log.LineQueue;
+import org.chivecourse.gateway.settings.GatewaySettings;
+import org.chivecourse.gateway.settings.GatewaySettingsReader;
+import sun.misc.Signal;
+
+/** Runs a gateway as a process of its own: from its settings file to its last log line. */
+public final class GatewayProcess {
+
+    /** The exit code after a stop that cut nothing. */
+    public static final int DONE = 0;
+
+    /** The exit code after a failure. */
+    public static final int FAILED = 1;
+
+    /** The exit code for settings that cannot be used. */
+    public static final int BAD_INPUT = 2;
+
+    /** The longest time to wait for the last log lines, in milliseconds. */
+    private static final long LAST_LINES_MILLISECONDS = 300;
+
+    /** The identifier that the network library would otherwise look for among the network interfaces. */
+    private static final String MACHINE_IDENTIFIER = "00:00:00:00:00:00:00:01";
+
+    /** Not to be constructed. */
+    private GatewayProcess() {}
+
+    /**
+     * Sets the properties of libraries; to be called before any of them is used.
+     */
+    public static void prepare() {
+        System.setProperty("org.jboss.logging.provider", "jdk");
+        System.setProperty("reactor.netty.native", "false");
+        System.setProperty("io.netty.machineId", MACHINE_IDENTIFIER);
+    }
+
+    /**
+     * Runs a gateway until it is asked to stop.
+     *
+     * @param file the YAML file with its settings
+     * @param environments makes what an adapter to a platform supplies
+     * @return the exit code
+     */
+    public static int run(Path file, Function<GatewayLog, GatewayEnvironment> environments) {
+        prepare();
+        Clock clock = Clock.systemUTC();
+        LineQueue lines = new LineQueue(new FileOutputStream(FileDescriptor.out));
+        lines.start();
+        new LibraryLogHandler(clock, lines).install();
+        try {
+            GatewaySettings settings = GatewaySettingsReader.read(file);
+            GatewayLog log = new JsonLineLog(settings.name(), clock, lines);
+            Gateway gateway = new Gateway(settings, new SecureRandom().nextLong(), clock, environments.apply(log));
+            return serve(gateway);
+        } catch (DocumentException exception) {
+            System.err.println("chivecourse: " + exception.getMessage());
+            return BAD_INPUT;
+        } catch (GatewayException exception) {
+            System.err.println("chivecourse: " + exception.getMessage());
+            return FAILED;
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return FAILED;
+        } finally {
+            lines.stop(LAST_LINES_MILLISECONDS);
+        }
+    }
+
+    /**
+     * Starts a gateway and stops it when a signal asks for it.
+     *
+     * @param gateway the gateway
+     * @return the exit code
+     * @throws GatewayException if it cannot start
+     * @throws InterruptedException if the thread is interrupted
+     */
+    private static int serve(Gateway gateway) throws GatewayException, InterruptedException {
+        CountDownLatch asked = new CountDownLatch(1);
+        Signal.handle(new Signal("TERM"), signal -> asked.countDown());
+        Signal.handle(new Signal("INT"), signal -> asked.countDown());
+        Signal.handle(new Signal("HUP"), signal -> gateway.step("reload", "SIGHUP"));
+        gateway.start();
+        asked.await();
+        return gateway.stop() == 0 ? DONE : FAILED;
+    }
+}
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/environment/package-info.java
@@ -0,0 +1,2 @@
+/** What a gateway meets outside: the header fields that are spoken and where published items come from. */
+package org.chivecourse.gateway.environment;
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/GatewayLog.java
@@ -0,0 +1,66 @@
+package org.chivecourse.gateway.log;
+
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.gateway.audit.AuditRecord;
+import org.chivecourse.transport.http.CallLog;
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+
+/** Receives one line for each decision that touches a request and for each change of what a gateway knows. */
+public interface GatewayLog extends CallLog {
+
+    /**
+     * A change of what the gateway knows, or a step of its life.
+     *
+     * @param change the change
+     */
+    void changed(AuditRecord change);
+
+    /** Writes changes to the logging library, and no lines for single requests. */
+    enum ForLogger implements GatewayLog {
+        /** The only instance. */
+        INSTANCE;
+
+        /** The log of changes. */
+        private static final Logger LOGGER = Logger.getLogger("org.chivecourse.audit");
+
+        @Override
+        public void changed(AuditRecord change) {
+            MDC.put("host", change.host());
+            MDC.put("actor", change.actor());
+            MDC.put("subject", change.subject());
+            MDC.put("name", change.name());
+            MDC.put("from", change.from());
+            MDC.put("to", change.to());
+            MDC.put("cause", change.cause());
+            MDC.put("revision", Long.toString(change.revision()));
+            LOGGER.infof("%s %s: %s", change.subject(), change.name(), change.to());
+            MDC.clear();
+        }
+
+        @Override
+        public void sent(String request, Decision.Send send) {
+            CallLog.Disabled.INSTANCE.sent(request, send);
+        }
+
+        @Override
+        public void attemptFailed(String request, Decision.Send send, boolean handed, String reason) {
+            CallLog.Disabled.INSTANCE.attemptFailed(request, send, handed, reason);
+        }
+
+        @Override
+        public void delivered(String request, Decision.Send send, int status, long milliseconds) {
+            CallLog.Disabled.INSTANCE.delivered(request, send, status, milliseconds);
+        }
+
+        @Override
+        public void refused(String request, long call, Decision.Refusal refusal, long milliseconds) {
+            CallLog.Disabled.INSTANCE.refused(request, call, refusal, milliseconds);
+        }
+
+        @Override
+        public void abandoned(String request, long call, long milliseconds) {
+            CallLog.Disabled.INSTANCE.abandoned(request, call, milliseconds);
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/JsonLineLog.java
@@ -0,0 +1,117 @@
+package org.chivecourse.gateway.log;
+
+import java.time.Clock;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.gateway.audit.AuditRecord;
+
+/** Writes each decision as a JSON line. */
+public final class JsonLineLog implements GatewayLog {
+
+    /** The name of the host. */
+    private final String host;
+
+    /** Tells the time of lines. */
+    private final Clock clock;
+
+    /** Writes lines. */
+    private final LineQueue lines;
+
+    /**
+     * Creates a log.
+     *
+     * @param host the name of the host
+     * @param clock tells the time of lines
+     * @param lines writes lines
+     */
+    public JsonLineLog(String host, Clock clock, LineQueue lines) {
+        this.host = host;
+        this.clock = clock;
+        this.lines = lines;
+    }
+
+    /**
+     * Begins a line.
+     *
+     * @param event what happened
+     * @return the line
+     */
+    private JsonLine line(String event) {
+        return new JsonLine().add("time", clock.millis()).add("host", host).add("event", event);
+    }
+
+    @Override
+    public void changed(AuditRecord change) {
+        lines.add(line("change")
+                .add("subject", change.subject())
+                .add("name", change.name())
+                .add("from", change.from())
+                .add("to", change.to())
+                .add("cause", change.cause())
+                .add("revision", change.revision())
+                .toString());
+    }
+
+    @Override
+    public void sent(String request, Decision.Send send) {
+        Decision.Basis basis = send.basis();
+        lines.add(line("sent")
+                .add("request", request)
+                .add("call", send.call())
+                .add("attempt", send.number())
+                .add("purpose", basis.purpose())
+                .add("server", send.address())
+                .add("incarnation", basis.incarnation())
+                .add("candidates", basis.candidates())
+                .add("in-flight", basis.inFlight())
+                .add("slowness-percent", basis.slownessPercent())
+                .add("report-age-milliseconds", basis.reportAgeMilliseconds())
+                .toString());
+    }
+
+    @Override
+    public void attemptFailed(String request, Decision.Send send, boolean handed, String reason) {
+        lines.add(line("attempt-failed")
+                .add("request", request)
+                .add("call", send.call())
+                .add("attempt", send.number())
+                .add("server", send.address())
+                .add("handed-over", handed)
+                .add("reason", reason)
+                .toString());
+    }
+
+    @Override
+    public void delivered(String request, Decision.Send send, int status, long milliseconds) {
+        lines.add(line("delivered")
+                .add("request", request)
+                .add("call", send.call())
+                .add("attempt", send.number())
+                .add("server", send.address())
+                .add("status", status)
+                .add("milliseconds", milliseconds)
+                .toString());
+    }
+
+    @Override
+    public void refused(String request, long call, Decision.Refusal refusal, long milliseconds) {
+        lines.add(line("refused")
+                .add("request", request)
+                .add("call", call)
+                .add("status", refusal.reason().status())
+                .add("outcome", refusal.outcome().toString())
+                .add("reason", refusal.reason().toString())
+                .add("retry-after-milliseconds", refusal.retryAfterMilliseconds())
+                .add("milliseconds", milliseconds)
+                .add("basis", refusal.explanation())
+                .toString());
+    }
+
+    @Override
+    public void abandoned(String request, long call, long milliseconds) {
+        lines.add(line("abandoned")
+                .add("request", request)
+                .add("call", call)
+                .add("milliseconds", milliseconds)
+                .toString());
+    }
+}
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/MetricsPrinter.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/MetricsPrinter.java
@@ -17,12 +17,11 @@
     /** The metrics. */
     private final MetricRegistry registry;
 
-    /** The mapper that prints metrics as JSON. */
-    private final ObjectMapper mapper =
-            new ObjectMapper().registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+    /** The mapper that prints metrics as JSON, {@code null} before the first use. */
+    private ObjectMapper mapper;
 
-    /** The registry that prints metrics as text. */
-    private final CollectorRegistry collectors = new CollectorRegistry();
+    /** The registry that prints metrics as text, {@code null} before the first use. */
+    private CollectorRegistry collectors;
 
     /**
      * Creates a printer.
@@ -31,7 +30,6 @@
      */
     public MetricsPrinter(MetricRegistry registry) {
         this.registry = registry;
-        collectors.register(new DropwizardExports(registry));
     }
 
     /**
@@ -39,7 +37,11 @@
      *
      * @return the JSON document
      */
-    public String json() {
+    public synchronized String json() {
+        if (mapper == null) {
+            mapper = new ObjectMapper()
+                    .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+        }
         try {
             return mapper.writeValueAsString(registry);
         } catch (JsonProcessingException exception) {
@@ -52,7 +54,11 @@
      *
      * @return the text
      */
-    public String text() {
+    public synchronized String text() {
+        if (collectors == null) {
+            collectors = new CollectorRegistry();
+            collectors.register(new DropwizardExports(registry));
+        }
         StringWriter writer = new StringWriter();
         try {
             TextFormat.write004(writer, collectors.metricFamilySamples());
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/OperatorListener.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/OperatorListener.java
@@ -9,6 +9,7 @@
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
 
 /** Listens for operators, scrapers of metrics and the platform's balancer. */
 public final class OperatorListener {
@@ -28,6 +29,9 @@
     /** Prints the latest steps of the decision core. */
     private final Supplier<String> trace;
 
+    /** The threads that connections run on. */
+    private final LoopResources loops;
+
     /** The listening server, {@code null} before the start. */
     private DisposableServer server;
 
@@ -39,13 +43,16 @@
      * @param status prints the status as JSON
      * @param metrics prints the metrics
      * @param trace prints the latest steps of the decision core
+     * @param loops the threads that connections run on
      */
     public OperatorListener(
             InetSocketAddress address,
             BooleanSupplier ready,
             Supplier<String> status,
             MetricsPrinter metrics,
-            Supplier<String> trace) {
+            Supplier<String> trace,
+            LoopResources loops) {
+        this.loops = loops;
         this.address = address;
         this.ready = ready;
         this.status = status;
@@ -58,6 +65,7 @@
      */
     public void start() {
         server = HttpServer.create()
+                .runOn(loops)
                 .bindAddress(() -> address)
                 .route(routes -> routes.get("/health", (request, response) -> text(response, () -> "alive\n"))
                         .get("/ready", (request, response) -> readiness(response))
@@ -92,7 +100,9 @@
      */
     private Publisher<Void> readiness(HttpServerResponse response) {
         boolean now = ready.getAsBoolean();
-        return text(response.status(now ? 200 : 503), () -> now ? "ready\n" : "not ready\n");
+        return response.status(now ? 200 : 503)
+                .header("Content-Type", "text/plain; charset=utf-8")
+                .sendString(Mono.just(now ? "ready\n" : "not ready\n"));
     }
 
     /**
--- /dev/null
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetReader.java
@@ -0,0 +1,105 @@
+package org.chivecourse.gateway.settings;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.rule.Address;
+import org.chivecourse.coordination.host.FleetSettings.RepeatLimits;
+import org.chivecourse.gateway.settings.GatewaySettings.Fleet;
+
+/** Reads the settings of a fleet that finds itself by seeds. */
+final class FleetReader {
+
+    /** The longest time, in milliseconds. */
+    private static final long LONGEST_MILLISECONDS = 3_600_000;
+
+    /** The largest number of repeats. */
+    private static final int LARGEST_REPEATS = 1_000_000;
+
+    /** The time between two probes where nothing else is said, in milliseconds. */
+    private static final long DEFAULT_PROBE_MILLISECONDS = 100;
+
+    /** The longest time to open a connection where nothing else is said, in milliseconds. */
+    private static final long DEFAULT_CONNECT_MILLISECONDS = 200;
+
+    /** Not to be constructed. */
+    private FleetReader() {}
+
+    /**
+     * Reads a fleet.
+     *
+     * @param reader the reader of the fleet
+     * @return the fleet
+     * @throws DocumentException if a value is not allowed
+     */
+    static Fleet fleet(MappingReader reader) throws DocumentException {
+        String publisher = reader.text("publisher");
+        if (!Address.valid(publisher)) {
+            throw reader.refuse("publisher", Address.ALLOWED);
+        }
+        Fleet fleet = new Fleet(
+                publisher,
+                reader.has("seeds") ? seeds(reader) : List.of(),
+                reader.has("repeats") ? repeats(reader.mapping("repeats")) : RepeatLimits.DEFAULT,
+                milliseconds(reader, "probe-interval-milliseconds", DEFAULT_PROBE_MILLISECONDS),
+                milliseconds(reader, "connect-timeout-milliseconds", DEFAULT_CONNECT_MILLISECONDS));
+        reader.finish();
+        return fleet;
+    }
+
+    /**
+     * Reads the addresses of some gateways.
+     *
+     * @param reader the reader of the fleet
+     * @return the addresses
+     * @throws DocumentException if one is not an address
+     */
+    private static List<String> seeds(MappingReader reader) throws DocumentException {
+        List<String> seeds = new ArrayList<>();
+        for (String address : reader.texts("seeds")) {
+            if (!Address.valid(address)) {
+                throw reader.refuse(
+                        "seeds", "a list of which each item is " + Address.ALLOWED + ", not \"" + address + "\"");
+            }
+            seeds.add(address);
+        }
+        return seeds;
+    }
+
+    /**
+     * Reads the bound on what all gateways together send again.
+     *
+     * @param reader the reader of the bound
+     * @return the bound
+     * @throws DocumentException if a value is not allowed
+     */
+    private static RepeatLimits repeats(MappingReader reader) throws DocumentException {
+        RepeatLimits defaults = RepeatLimits.DEFAULT;
+        RepeatLimits limits = new RepeatLimits(
+                reader.number("share", 0, 1, defaults.share()),
+                (int) reader.integer("slack", 0, LARGEST_REPEATS, defaults.slack()),
+                TimeUnit.SECONDS.toNanos(reader.integer(
+                        "window-seconds",
+                        1,
+                        LONGEST_MILLISECONDS,
+                        TimeUnit.NANOSECONDS.toSeconds(defaults.windowNanoseconds()))));
+        reader.finish();
+        return limits;
+    }
+
+    /**
+     * Reads a time in milliseconds.
+     *
+     * @param reader the reader
+     * @param key the key
+     * @param missing the time for a missing key, in milliseconds
+     * @return the time
+     * @throws DocumentException if the value is not allowed
+     */
+    private static Duration milliseconds(MappingReader reader, String key, long missing) throws DocumentException {
+        return Duration.ofMillis(reader.integer(key, 1, LONGEST_MILLISECONDS, missing));
+    }
+}
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.host.FleetSettings.RepeatLimits;
 import org.chivecourse.coordination.host.HostSettings.KeyLimits;
 import org.chivecourse.transport.http.HttpSettings;
 
@@ -23,6 +24,8 @@
  * @param keys the bounds on idempotency keys
  * @param traceSteps the number of steps of the decision core that are kept for operators
  * @param drain the times of a stop
+ * @param fleet the fleet that finds itself, {@code null} if the platform lists hosts
+ * @param threads the number of threads that connections run on
  * @param backendTrust the file with the certificates that backend servers are trusted by, empty for plain connections
  */
 public record GatewaySettings(
@@ -40,6 +43,8 @@
         KeyLimits keys,
         int traceSteps,
         Drain drain,
+        Fleet fleet,
+        int threads,
         String backendTrust) {
 
     /**
@@ -67,11 +72,39 @@
      */
     public record Peers(String address, String keyFile) {}
 
+    /**
+     * The fleet that finds itself by seeds and reads published items.
+     *
+     * @param publisher the address of the platform's publisher
+     * @param seeds the addresses of some gateways, which may be out of date
+     * @param repeats the bound on what all gateways together send again
+     * @param probeInterval the time between two probes of a backend server from one data centre
+     * @param connectTimeout the longest time to open a connection
+     */
+    public record Fleet(
+            String publisher,
+            List<String> seeds,
+            RepeatLimits repeats,
+            Duration probeInterval,
+            Duration connectTimeout) {
+
+        /**
+         * Creates a fleet whose seeds are copied.
+         */
+        public Fleet {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
     /**
      * The times of a stop.
      *
      * @param linger the time between the withdrawal of readiness and the end of listening
      * @param deadline the time after which open exchanges are cut
      */
-    public record Drain(Duration linger, Duration deadline) {}
+    public record Drain(Duration linger, Duration deadline) {
+
+        /** The times where nothing else is said. */
+        public static final Drain DEFAULT = new Drain(Duration.ofSeconds(5), Duration.ofSeconds(60));
+    }
 }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -25,6 +25,15 @@
     /** The largest number of hosts. */
     private static final int LARGEST_HOSTS = 1000;
 
+    /** The number of hosts where nothing else is said. */
+    private static final int DEFAULT_HOSTS = 14;
+
+    /** The largest number of threads. */
+    private static final int LARGEST_THREADS = 64;
+
+    /** The number of threads where nothing else is said. */
+    private static final int DEFAULT_THREADS = Runtime.getRuntime().availableProcessors();
+
     /** The largest number of calls at the same time. */
     private static final int LARGEST_CALLS = 1_000_000;
 
@@ -80,15 +89,17 @@
                 endpoint(reader.mapping("callers")),
                 endpoint(reader.mapping("operators")),
                 reader.has("peers") ? peers(reader.mapping("peers")) : null,
-                addresses(reader, "configuration-service"),
-                addresses(reader, "host-list"),
-                (int) reader.integer("expected-hosts", 1, LARGEST_HOSTS),
+                reader.has("fleet") ? List.of() : addresses(reader, "configuration-service"),
+                reader.has("fleet") ? List.of() : addresses(reader, "host-list"),
+                (int) reader.integer("expected-hosts", 1, LARGEST_HOSTS, DEFAULT_HOSTS),
                 reader.choice("choice", ChoicePolicy.class, ChoicePolicy.LEAST_ESTIMATE),
                 reader.has("http") ? http(reader.mapping("http")) : HttpSettings.DEFAULT,
                 (int) reader.integer("largest-calls", 1, LARGEST_CALLS, 10_000),
                 reader.has("keys") ? keys(reader.mapping("keys")) : KeyLimits.DEFAULT,
                 (int) reader.integer("trace-steps", 0, LARGEST_TRACE_STEPS, 2_000),
-                drain(reader.mapping("drain")),
+                reader.has("drain") ? drain(reader.mapping("drain")) : Drain.DEFAULT,
+                reader.has("fleet") ? FleetReader.fleet(reader.mapping("fleet")) : null,
+                (int) reader.integer("threads", 1, LARGEST_THREADS, DEFAULT_THREADS),
                 file(reader, "backend-trust"));
         String callers = settings.callers().address();
         if (callers.equals(settings.operators().address()) && !callers.endsWith(":0")) {
@@ -232,8 +243,16 @@
      * @throws DocumentException if a value is not allowed
      */
     private static Drain drain(MappingReader reader) throws DocumentException {
-        long linger = reader.integer("linger-milliseconds", 0, LONGEST_MILLISECONDS);
-        long deadline = reader.integer("deadline-milliseconds", 1, LONGEST_MILLISECONDS);
+        long linger = reader.integer(
+                "linger-milliseconds",
+                0,
+                LONGEST_MILLISECONDS,
+                Drain.DEFAULT.linger().toMillis());
+        long deadline = reader.integer(
+                "deadline-milliseconds",
+                1,
+                LONGEST_MILLISECONDS,
+                Drain.DEFAULT.deadline().toMillis());
         if (deadline <= linger) {
             throw reader.refuse("deadline-milliseconds", "more than linger-milliseconds, " + linger);
         }
