Tell an outage of the publisher by its answers, and doubt announcements that end together

Ruled out: the relay (all gateways had the removal) and the registry (it holds what it is told to hold). Change: digests tell the time since the publisher's last answer, and an outage is a gap between answers to any gateway that is longer than a call may take. Several announcements that end together without a word of leaving are held for 1.3 s, less than the bound of a drain, since a shorter outage may have let them lapse.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -52,6 +52,9 @@
     /** The largest size of published items in a digest, in bytes. */
     private static final int LARGEST_INLINE_BYTES = 800;
 
+    /** The number of nanoseconds in a millisecond. */
+    private static final long MILLISECOND = 1_000_000L;
+
     /** The number of nanoseconds in a second. */
     private static final long SECOND = 1_000_000_000L;
 
@@ -168,9 +171,6 @@
      * @param sink receives the record
      */
     private void noteReached(long now, DecisionSink sink) {
-        if (feed.answeredRecently(now) && feed.reached()) {
-            published.outages().answered(now);
-        }
         if (feed.reached() == reachedBefore) {
             return;
         }
@@ -329,8 +329,8 @@
         if (digest.asks()) {
             tell(List.of(sender), digest(Content.REPLY, now), now, sink);
         }
-        if (digest.standing().reached() && digest.standing().watching()) {
-            published.outages().answered(now);
+        if (digest.standing().answeredMilliseconds() >= 0) {
+            published.outages().answered(now - digest.standing().answeredMilliseconds() * MILLISECOND);
         }
         takeChanges(digest, now, sink);
         boolean near = neighbours.near(sender);
@@ -463,7 +463,10 @@
      */
     private FleetDigest digest(Content content, long now) {
         FleetDigest.Standing standing = new FleetDigest.Standing(
-                published.revision(), feed.reached(), feed.reading() && feed.answeredRecently(now));
+                published.revision(),
+                feed.reached(),
+                feed.reading() && feed.answeredRecently(now),
+                feed.answeredMilliseconds(now));
         return composer.digest(content, standing, now);
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/OutageWatch.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/OutageWatch.java
@@ -5,8 +5,12 @@
 /** Tells an outage of the publisher for the whole fleet from one that concerns few gateways. */
 public final class OutageWatch {
 
-    /** The time without any answer of the publisher from which on announcements may have expired, in nanoseconds. */
-    private static final long OUTAGE_NANOSECONDS = 1_000_000_000L;
+    /**
+     * The time between two answers of the publisher to any gateway from which on announcements may have expired, in
+     * nanoseconds: longer than the time that a call may take.
+     */
+    private static final long OUTAGE_NANOSECONDS =
+            PublicationFeed.WAIT_MILLISECONDS * 1_000_000L + PublicationFeed.CALL_NANOSECONDS;
 
     /** The time of the last sign that the publisher answers some gateway, in nanoseconds. */
     private long answeredAt;
@@ -21,17 +25,20 @@
     private boolean ended;
 
     /**
-     * Notes that the publisher answers some gateway of the fleet.
+     * Notes that the publisher answered some gateway of the fleet.
      *
-     * @param now the time in nanoseconds
+     * @param at the time of the answer, in nanoseconds
      */
-    public void answered(long now) {
-        if (known && now - answeredAt > OUTAGE_NANOSECONDS) {
-            endedAt = now;
+    public void answered(long at) {
+        if (known && at - answeredAt <= 0) {
+            return;
+        }
+        if (known && at - answeredAt > OUTAGE_NANOSECONDS) {
+            endedAt = at;
             ended = true;
         }
         known = true;
-        answeredAt = now;
+        answeredAt = at;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublicationFeed.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublicationFeed.java
@@ -146,6 +146,16 @@
         return succeeded && now - succeededAt <= WAIT_MILLISECONDS * MILLISECOND + CALL_NANOSECONDS;
     }
 
+    /**
+     * Returns the time since the publisher last answered.
+     *
+     * @param now the time in nanoseconds
+     * @return the time in milliseconds, negative if it never has
+     */
+    public long answeredMilliseconds(long now) {
+        return succeeded ? (now - succeededAt) / MILLISECOND : -1;
+    }
+
     /**
      * Returns whether a call is under way.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
@@ -12,6 +12,15 @@
 /** What is published, decoded into the registry of backend servers and the configuration. */
 public final class PublishedState {
 
+    /** The number of announcements that end together without a word of leaving from which on they are doubted. */
+    private static final int UNANNOUNCED_ENDS = 2;
+
+    /**
+     * The time for which backend servers are kept whose announcements ended together, in nanoseconds: less than the
+     * time within which a leaving one must get no new work.
+     */
+    private static final long DOUBT_NANOSECONDS = 1_300_000_000L;
+
     /** The published items. */
     private final PublicationTable table = new PublicationTable();
 
@@ -83,26 +92,46 @@
      */
     private void apply(List<PublishedItem> changed, String source, long now, DecisionSink sink) {
         boolean servers = false;
+        long keepUntil = keepUntil(changed, now);
         for (PublishedItem item : changed) {
-            servers |= apply(item, source, now, sink);
+            servers |= apply(item, keepUntil, source, now, sink);
         }
         if (servers) {
             receiver.serversChanged(now, sink);
         }
     }
 
+    /**
+     * Returns until when backend servers are kept whose announcements end now: for the time of their return after an
+     * outage, and for less if several end together that did not say that they leave, since that may be an outage that
+     * was too short to be noticed.
+     *
+     * @param changed the changed items
+     * @param now the time in nanoseconds
+     * @return the present time or a later one
+     */
+    private long keepUntil(List<PublishedItem> changed, long now) {
+        int unannounced = 0;
+        for (PublishedItem item : changed) {
+            unannounced += item.removed() && registry.staying(item.key()) ? 1 : 0;
+        }
+        long keepUntil = outages.keepUntil(now);
+        return unannounced >= UNANNOUNCED_ENDS ? Math.max(keepUntil, now + DOUBT_NANOSECONDS) : keepUntil;
+    }
+
     /**
      * Applies a changed item.
      *
      * @param item the item or removal
+     * @param keepUntil until when backend servers are kept whose announcements end
      * @param source where it comes from
      * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      * @return whether the backend servers changed
      */
-    private boolean apply(PublishedItem item, String source, long now, DecisionSink sink) {
+    private boolean apply(PublishedItem item, long keepUntil, String source, long now, DecisionSink sink) {
         if (item.removed()) {
-            return withdraw(item, source, now, sink);
+            return withdraw(item, keepUntil, source, now, sink);
         }
         Publication publication = decoder.decode(item);
         if (publication instanceof Publication.ForServer server) {
@@ -143,13 +172,13 @@
      * Applies the end of an announcement.
      *
      * @param item the removal
+     * @param keepUntil until when the backend server is kept
      * @param source where it comes from
      * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      * @return whether the backend servers changed
      */
-    private boolean withdraw(PublishedItem item, String source, long now, DecisionSink sink) {
-        long keepUntil = outages.keepUntil(now);
+    private boolean withdraw(PublishedItem item, long keepUntil, String source, long now, DecisionSink sink) {
         boolean changed = registry.withdraw(item.key(), keepUntil, now);
         boolean kept = keepUntil - now > 0;
         sink.decide(change(
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/registry/Registry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/registry/Registry.java
@@ -72,6 +72,17 @@
         return servers.remove(key) != null;
     }
 
+    /**
+     * Returns whether a backend server is announced and has not said that it leaves.
+     *
+     * @param key the key of the announcement
+     * @return {@code true} if it takes requests
+     */
+    public boolean staying(String key) {
+        RegisteredServer server = servers.get(key);
+        return server != null && !server.leaving();
+    }
+
     /**
      * Takes out the withdrawn backend servers whose time has passed.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -54,6 +54,7 @@
                 .setRevision(digest.standing().revision())
                 .setPublisherReached(digest.standing().reached())
                 .setWatching(digest.standing().watching())
+                .setAnsweredMilliseconds(digest.standing().answeredMilliseconds())
                 .setFleetSize(digest.fleetSize());
         for (Member member : digest.members()) {
             message.addMembers(MemberMessage.newBuilder()
@@ -156,7 +157,11 @@
                 message.getSequence(),
                 message.getStopping(),
                 message.getAsks(),
-                new FleetDigest.Standing(message.getRevision(), message.getPublisherReached(), message.getWatching()),
+                new FleetDigest.Standing(
+                        message.getRevision(),
+                        message.getPublisherReached(),
+                        message.getWatching(),
+                        message.getAnsweredMilliseconds()),
                 members,
                 sightings,
                 crashes,
--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -50,8 +50,9 @@
      * @param revision the revision up to which it knows the published items
      * @param reached whether the publisher answers it
      * @param watching whether it watches the publisher
+     * @param answeredMilliseconds the time since the publisher last answered it, negative if it never has
      */
-    public record Standing(long revision, boolean reached, boolean watching) {}
+    public record Standing(long revision, boolean reached, boolean watching, long answeredMilliseconds) {}
 
     /**
      * Published items.
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/TextDecoder.java
@@ -0,0 +1,43 @@
+package org.chivecourse.coordination.fleet;
+
+import java.nio.charset.StandardCharsets;
+import org.chivecourse.configuration.format.ConfigurationReader;
+import org.chivecourse.coordination.publication.Publication;
+import org.chivecourse.coordination.publication.PublicationDecoder;
+import org.chivecourse.state.publication.PublishedItem;
+import org.chivecourse.state.server.RegisteredServer;
+
+/** Decodes the items of tests: a printed configuration, or a backend server as words. */
+final class TextDecoder implements PublicationDecoder {
+
+    static final String CONFIGURATION = "configuration";
+
+    static PublishedItem server(String identity, long revision, String state) {
+        String text = String.join(" ", identity, "jobs", "10.0.0." + identity.substring(1) + ":80", "a", state);
+        return new PublishedItem("server " + identity, revision, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public Publication decode(PublishedItem item) {
+        String text = new String(item.value(), StandardCharsets.UTF_8);
+        try {
+            if (item.key().equals(CONFIGURATION)) {
+                return new Publication.ForConfiguration(new ConfigurationReader().read("test", text));
+            }
+            String[] words = text.split(" ");
+            return new Publication.ForServer(new RegisteredServer(
+                    words[0],
+                    1,
+                    item.revision(),
+                    words[1],
+                    words[2],
+                    words[3],
+                    "v1",
+                    4,
+                    words[4].equals("leaving"),
+                    0));
+        } catch (Exception exception) {
+            return new Publication.Unreadable(exception.toString());
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/retry/FleetRepeatBudgetTest.java
@@ -0,0 +1,74 @@
+package org.chivecourse.coordination.retry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.chivecourse.coordination.host.FleetSettings.RepeatLimits;
+import org.junit.jupiter.api.Test;
+
+class FleetRepeatBudgetTest {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    private static final int HOSTS = 13;
+
+    private static final RepeatLimits LIMITS = new RepeatLimits(0.2, 56, 10 * SECOND);
+
+    @Test
+    void aHostWithoutRequestsHasItsPartOfTheSlackOnly() {
+        FleetRepeatBudget budget = new FleetRepeatBudget(LIMITS, () -> HOSTS);
+        int spent = 0;
+        while (budget.spend(SECOND)) {
+            spent++;
+        }
+        assertThat(spent, lessThanOrEqualTo(56 / HOSTS));
+        assertThat(spent, greaterThan(0));
+    }
+
+    @Test
+    void aRepeatThatReachedNobodyIsGivenBack() {
+        FleetRepeatBudget budget = new FleetRepeatBudget(LIMITS, () -> HOSTS);
+        budget.spend(SECOND);
+        budget.refund(SECOND);
+        assertThat(budget.used(), equalTo(0));
+    }
+
+    /** Whatever the load of each host, all hosts together keep the bound in every window. */
+    @Property(tries = 60)
+    void allHostsTogetherKeepTheBoundInEveryWindow(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<FleetRepeatBudget> budgets = new ArrayList<>();
+        for (int host = 0; host < HOSTS; host++) {
+            budgets.add(new FleetRepeatBudget(LIMITS, () -> HOSTS));
+        }
+        List<Long> arrivals = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        long now = 0;
+        for (int step = 0; step < 6000; step++) {
+            now += random.nextLong(1, 12_000_000);
+            FleetRepeatBudget budget = budgets.get(random.nextInt(HOSTS));
+            if (random.nextInt(3) == 0) {
+                budget.arrived(now);
+                arrivals.add(now);
+            } else if (budget.spend(now)) {
+                repeats.add(now);
+            }
+        }
+        for (long repeat : repeats) {
+            long used = count(repeats, repeat - 10 * SECOND, repeat);
+            double allowed = 0.2 * count(arrivals, repeat - 10 * SECOND, repeat) + 56;
+            assertThat((double) used, lessThanOrEqualTo(allowed));
+        }
+    }
+
+    private static long count(List<Long> times, long after, long until) {
+        return times.stream().filter(time -> time > after && time <= until).count();
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/route/RouteTableTest.java
@@ -0,0 +1,63 @@
+package org.chivecourse.coordination.route;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.chivecourse.configuration.model.CallerRoute;
+import org.chivecourse.configuration.model.ServiceShare;
+import org.junit.jupiter.api.Test;
+
+class RouteTableTest {
+
+    private static RouteTable table(CallerRoute... routes) {
+        return new RouteTable(List.of(routes), new SplittableRandom(1));
+    }
+
+    @Test
+    void theLongestPrefixOfTheHostApplies() {
+        RouteTable table =
+                table(CallerRoute.of("short", "h", "/a/", "jobs"), CallerRoute.of("long", "h", "/a/b/", "jobs"));
+        assertThat(table.route("h", "/a/b/c").name(), equalTo("long"));
+        assertThat(table.route("h", "/a/c").name(), equalTo("short"));
+    }
+
+    @Test
+    void aRouteOfAnotherHostDoesNotApply() {
+        assertThat(table(CallerRoute.of("r", "h", "/a/", "jobs")).route("g", "/a/b"), nullValue());
+    }
+
+    @Test
+    void aPathThatOnlyBeginsLikeThePrefixIsNotCovered() {
+        assertThat(table(CallerRoute.of("r", "h", "/a/", "jobs")).route("h", "/ab"), nullValue());
+    }
+
+    @Property(tries = 100)
+    void eachServiceGetsItsShareToWithinOneRequest(
+            @ForAll @IntRange(min = 1, max = 99) int weight, @ForAll @IntRange(min = 20, max = 400) int requests) {
+        CallerRoute route = CallerRoute.of("r", "h", "/a/", "x")
+                .split(List.of(new ServiceShare("x", weight), new ServiceShare("y", 100 - weight)));
+        RouteTable table = new RouteTable(List.of(route), new SplittableRandom(weight));
+        int first = 0;
+        for (int count = 0; count < requests; count++) {
+            first += table.service(route).equals("x") ? 1 : 0;
+        }
+        assertThat((double) first, closeTo(requests * weight / 100.0, 1.01));
+    }
+
+    @Test
+    void aServiceOfNoWeightGetsNothing() {
+        CallerRoute route =
+                CallerRoute.of("r", "h", "/a/", "x").split(List.of(new ServiceShare("x", 0), new ServiceShare("y", 5)));
+        RouteTable table = table(route);
+        for (int count = 0; count < 50; count++) {
+            assertThat(table.service(route), equalTo("y"));
+        }
+    }
+}
