Tell sightings when there are some, and split the exchange of a fleet by job

Cause: a gateway ticked 100 times a second and told its data centre 20 times a second, seen or not; each datagram parsed its address anew.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -1,6 +1,5 @@
 package org.chivecourse.coordination.fleet;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.chivecourse.coordination.call.ServiceRegister;
 import org.chivecourse.coordination.decision.Decision;
@@ -25,30 +24,12 @@
  */
 public final class FleetExchange {
 
-    /** The time between two digests to the gateways of the same data centre, in nanoseconds. */
-    static final long NEAR_NANOSECONDS = 50_000_000L;
-
-    /** The time between two digests to a gateway of another data centre, in nanoseconds. */
-    static final long FAR_NANOSECONDS = 1_000_000_000L;
-
-    /** The time between two words to other data centres of what was seen, in nanoseconds. */
-    private static final long RELAY_NANOSECONDS = 50_000_000L;
-
-    /** The time between two questions to silent seeds shortly after the start, in nanoseconds. */
-    private static final long EAGER_SEED_NANOSECONDS = 100_000_000L;
-
-    /** The time after the start for which seeds are asked often, in nanoseconds. */
-    private static final long EAGER_NANOSECONDS = 3_000_000_000L;
-
     /** The time for which a fetch of published items may take, in nanoseconds. */
     private static final long PULL_NANOSECONDS = 500_000_000L;
 
     /** The time for which a new gateway waits for published items that it has heard of, in nanoseconds. */
     private static final long CATCH_UP_NANOSECONDS = 1_500_000_000L;
 
-    /** The time for which a gateway that was only heard of is written to, in nanoseconds. */
-    private static final long UNHEARD_NANOSECONDS = 5_000_000_000L;
-
     /** The largest size of published items in a digest, in bytes. */
     private static final int LARGEST_INLINE_BYTES = 800;
 
@@ -73,6 +54,9 @@
     /** Composes digests. */
     private final DigestComposer composer;
 
+    /** Sends digests when they are due. */
+    private final DigestSchedule schedule;
+
     /** The services of the configuration in force. */
     private final ServiceRegister services;
 
@@ -85,15 +69,6 @@
     /** Whether there was an event. */
     private boolean started;
 
-    /** The time of the last digest to the same data centre, in nanoseconds. */
-    private long nearAt;
-
-    /** The time of the last word to other data centres of what was seen, in nanoseconds. */
-    private long relayedAt;
-
-    /** The time of the last question to silent seeds, in nanoseconds. */
-    private long seedsAt;
-
     /** The time of the last clean-up, in nanoseconds. */
     private long forgottenAt;
 
@@ -122,6 +97,7 @@
         this.poison = poison;
         neighbours = new Neighbours(new Member(settings.name(), settings.fleet().address(), settings.dataCentre()));
         composer = new DigestComposer(settings, neighbours, poison);
+        schedule = new DigestSchedule(settings, neighbours, services.sightings(), this::digest);
     }
 
     /**
@@ -133,7 +109,7 @@
     public void stopping(long now, DecisionSink sink) {
         stopping = true;
         composer.stopping();
-        tell(neighbours.live(now), digest(Content.NOTHING, now), now, sink);
+        DigestSchedule.tell(neighbours.live(now), digest(Content.NOTHING, now), now, sink);
     }
 
     /**
@@ -146,18 +122,12 @@
         if (!started) {
             started = true;
             startedAt = now;
-            seedsAt = now - FAR_NANOSECONDS;
-            nearAt = now;
         }
         if (now - forgottenAt >= SECOND) {
             forgottenAt = now;
             neighbours.forget(now);
         }
-        askSeeds(now, sink);
-        tellCrashes(now, sink);
-        tellNear(now, sink);
-        relay(now, sink);
-        tellFar(now, sink);
+        schedule.timePassed(now, sink);
         boolean wanted = !stopping && WatchElection.INSTANCE.watches(neighbours, now);
         feed.timePassed(wanted, published.revision(), now, sink);
         noteReached(now, sink);
@@ -184,136 +154,6 @@
                 published.revision())));
     }
 
-    /**
-     * Asks seeds that are not heard for digests.
-     *
-     * @param now the time in nanoseconds
-     * @param sink receives the decisions that follow
-     */
-    private void askSeeds(long now, DecisionSink sink) {
-        boolean eager = now - startedAt < EAGER_NANOSECONDS;
-        if (now - seedsAt < (eager ? EAGER_SEED_NANOSECONDS : FAR_NANOSECONDS)) {
-            return;
-        }
-        seedsAt = now;
-        List<String> silent = new ArrayList<>(settings.fleet().seeds());
-        silent.remove(settings.fleet().address());
-        for (Neighbour neighbour : neighbours.live(now)) {
-            silent.remove(neighbour.member().address());
-        }
-        if (!silent.isEmpty()) {
-            sink.decide(new Decision.TellFleet(silent, digest(Content.QUESTION, now)));
-        }
-    }
-
-    /**
-     * Tells the gateways of the same data centre, if it is time.
-     *
-     * @param now the time in nanoseconds
-     * @param sink receives the decisions that follow
-     */
-    private void tellNear(long now, DecisionSink sink) {
-        if (now - nearAt < NEAR_NANOSECONDS) {
-            return;
-        }
-        nearAt = now;
-        List<Neighbour> near = new ArrayList<>();
-        for (Neighbour neighbour : neighbours.all()) {
-            if (neighbours.near(neighbour) && worthTelling(neighbour, now)) {
-                near.add(neighbour);
-            }
-        }
-        if (!near.isEmpty()) {
-            tell(near, digest(Content.of(services.sightings().pollNear()), now), now, sink);
-        }
-    }
-
-    /**
-     * Tells all gateways at once of crashes of backend servers.
-     *
-     * @param now the time in nanoseconds
-     * @param sink receives the decisions that follow
-     */
-    private void tellCrashes(long now, DecisionSink sink) {
-        List<Crash> crashes = services.sightings().pollCrashes();
-        if (!crashes.isEmpty()) {
-            Content content = new Content(false, 0, List.of(), crashes, null);
-            tell(neighbours.live(now), digest(content, now), now, sink);
-        }
-    }
-
-    /**
-     * Tells the gateways of other data centres whose turn it is.
-     *
-     * @param now the time in nanoseconds
-     * @param sink receives the decisions that follow
-     */
-    private void tellFar(long now, DecisionSink sink) {
-        List<Neighbour> due = new ArrayList<>();
-        for (Neighbour neighbour : neighbours.all()) {
-            boolean turn = !neighbours.near(neighbour) && neighbour.sinceTold(now) >= FAR_NANOSECONDS;
-            if (turn && worthTelling(neighbour, now)) {
-                due.add(neighbour);
-            }
-        }
-        if (due.isEmpty()) {
-            return;
-        }
-        tell(due, digest(Content.of(List.of()), now), now, sink);
-    }
-
-    /**
-     * Tells one gateway of each other data centre what the gateways of this one have seen, if it is this one's part.
-     *
-     * @param now the time in nanoseconds
-     * @param sink receives the decisions that follow
-     */
-    private void relay(long now, DecisionSink sink) {
-        if (now - relayedAt < RELAY_NANOSECONDS) {
-            return;
-        }
-        relayedAt = now;
-        if (!RelayElection.INSTANCE.relays(neighbours, now)) {
-            services.sightings().forgetFar();
-            return;
-        }
-        List<Sighting> seen = services.sightings().pollFar();
-        List<Neighbour> receivers = RelayElection.INSTANCE.receivers(neighbours, now);
-        if (!seen.isEmpty() && !receivers.isEmpty()) {
-            tell(receivers, digest(new Content(false, 0, seen, List.of(), null), now), now, sink);
-        }
-    }
-
-    /**
-     * Returns whether a gateway is written to.
-     *
-     * @param neighbour the gateway
-     * @param now the time in nanoseconds
-     * @return {@code true} unless it was heard of and never heard for a while
-     */
-    private static boolean worthTelling(Neighbour neighbour, long now) {
-        return neighbour.latest() != null || neighbour.silence(now) < UNHEARD_NANOSECONDS;
-    }
-
-    /**
-     * Sends a digest.
-     *
-     * @param receivers the gateways
-     * @param digest the digest
-     * @param now the time in nanoseconds
-     * @param sink receives the decision
-     */
-    private static void tell(List<Neighbour> receivers, FleetDigest digest, long now, DecisionSink sink) {
-        List<String> addresses = new ArrayList<>(receivers.size());
-        for (Neighbour receiver : receivers) {
-            receiver.told(now);
-            addresses.add(receiver.member().address());
-        }
-        if (!addresses.isEmpty()) {
-            sink.decide(new Decision.TellFleet(addresses, digest));
-        }
-    }
-
     /**
      * Takes a digest over.
      *
@@ -327,7 +167,7 @@
             return;
         }
         if (digest.asks()) {
-            tell(List.of(sender), digest(Content.REPLY, now), now, sink);
+            DigestSchedule.tell(List.of(sender), digest(Content.REPLY, now), now, sink);
         }
         if (digest.standing().answeredMilliseconds() >= 0) {
             published.outages().answered(now - digest.standing().answeredMilliseconds() * MILLISECOND);
@@ -451,7 +291,7 @@
         }
         boolean fits = bytes <= LARGEST_INLINE_BYTES && changes.after() > 0;
         Content content = new Content(false, 0, List.of(), List.of(), fits ? changes : null);
-        tell(neighbours.live(now), digest(content, now), now, sink);
+        DigestSchedule.tell(neighbours.live(now), digest(content, now), now, sink);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/Neighbour.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/Neighbour.java
@@ -30,7 +30,7 @@
     Neighbour(Member member, long now) {
         this.member = member;
         heardAt = now;
-        toldAt = now - FleetExchange.FAR_NANOSECONDS;
+        toldAt = now - DigestSchedule.FAR_NANOSECONDS;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/SightingOutbox.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/SightingOutbox.java
@@ -85,6 +85,15 @@
         }
     }
 
+    /**
+     * Returns whether there is anything to tell the same data centre.
+     *
+     * @return {@code true} if there are sightings
+     */
+    boolean anyForNear() {
+        return !near.isEmpty();
+    }
+
     /**
      * Takes the sightings for the same data centre.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
@@ -11,6 +11,8 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.PeerMessageException;
@@ -45,6 +47,12 @@
     /** The thread of the exchange. */
     private final EventLoopGroup group;
 
+    /** The largest number of addresses that are kept resolved. */
+    private static final int LARGEST_RESOLVED = 4096;
+
+    /** The socket addresses of other gateways. */
+    private final Map<String, InetSocketAddress> resolved = new ConcurrentHashMap<>();
+
     /** The channel of datagrams, {@code null} before the start. */
     private volatile Channel channel;
 
@@ -169,7 +177,10 @@
             return;
         }
         metrics.sent(datagram.length);
-        InetSocketAddress to = BackendConnections.resolved(address);
+        if (resolved.size() >= LARGEST_RESOLVED) {
+            resolved.clear();
+        }
+        InetSocketAddress to = resolved.computeIfAbsent(address, BackendConnections::resolved);
         channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to));
     }
 
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -58,7 +58,7 @@
     private static final long STOP_POLL_MILLISECONDS = 5;
 
     /** The time between two ticks of a gateway whose backend servers announce themselves, in nanoseconds. */
-    private static final long FLEET_TICK_NANOSECONDS = 10_000_000L;
+    private static final long FLEET_TICK_NANOSECONDS = 20_000_000L;
 
     /** The number of lives that are told apart within a millisecond. */
     private static final long LIVES_PER_MILLISECOND = 1000;
