--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/Document.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/Document.java
@@ -30,6 +30,9 @@
     /** The root of the document. */
     private final MappingNode root;
 
+    /** What becomes of problems. */
+    private Problems problems = Problems.First.INSTANCE;
+
     /** The line of each path that was read. */
     private final Map<String, Integer> lines = new HashMap<>();
 
@@ -61,6 +64,45 @@
         }
     }
 
+    /**
+     * Collects the problems from now on, in place of ending the reading at the first.
+     *
+     * @return this document
+     */
+    public Document collecting() {
+        problems = new Problems.All();
+        return this;
+    }
+
+    /**
+     * Ends the reading if problems were collected.
+     *
+     * @throws DocumentException if there were some, with all of them
+     */
+    public void check() throws DocumentException {
+        problems.check();
+    }
+
+    /**
+     * Returns a view of this document that has no problems, for the parts of a value that is missing as a whole.
+     *
+     * @return the view
+     */
+    Document silent() {
+        Document view = new Document(source, root);
+        view.problems = Problems.None.INSTANCE;
+        return view;
+    }
+
+    /**
+     * Returns what becomes of problems.
+     *
+     * @return the problems
+     */
+    Problems problems() {
+        return problems;
+    }
+
     /**
      * Parses a document.
      *
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/DocumentException.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/DocumentException.java
@@ -1,5 +1,7 @@
 package org.chivecourse.configuration.document;
 
+import java.util.List;
+
 /** Signals that a YAML document does not have the shape that its reader requires. */
 public class DocumentException extends Exception {
 
@@ -14,6 +16,15 @@
         super(source + ":" + line + ": " + problem);
     }
 
+    /**
+     * Creates an exception for several problems.
+     *
+     * @param problems the problems, each with its place
+     */
+    DocumentException(List<String> problems) {
+        super(String.join("\n", problems));
+    }
+
     /**
      * Creates an exception for a document as a whole.
      *
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/MappingReader.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/MappingReader.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.yaml.snakeyaml.nodes.MappingNode;
@@ -54,6 +53,19 @@
         }
     }
 
+    /**
+     * Creates a reader of a mapping without keys.
+     *
+     * @param document the document that lacks the mapping
+     * @param path the path of the mapping
+     * @param parent the mapping that lacks it
+     */
+    private MappingReader(Document document, String path, MappingNode parent) {
+        this.document = document;
+        this.mapping = parent;
+        this.path = path;
+    }
+
     /**
      * Adds a key and its value.
      *
@@ -90,7 +102,7 @@
      * @throws DocumentException if the key is missing or its value is not a text of at least one character
      */
     public String text(String key) throws DocumentException {
-        return scalar(key, required(key, TEXT), TEXT);
+        return collect(() -> scalar(key, required(key, TEXT), TEXT), "");
     }
 
     /**
@@ -115,18 +127,22 @@
      * @throws DocumentException if the key is missing or its value is not an integer in the range
      */
     public long integer(String key, long least, long most) throws DocumentException {
-        String allowed = "an integer from " + least + " to " + most;
-        Node node = required(key, allowed);
-        String text = scalar(key, node, allowed);
-        try {
-            long value = Long.parseLong(text);
-            if (value >= least && value <= most) {
-                return value;
-            }
-        } catch (NumberFormatException exception) {
-            throw wrong(key, node, text, allowed);
-        }
-        throw wrong(key, node, text, allowed);
+        return collect(
+                () -> {
+                    String allowed = "an integer from " + least + " to " + most;
+                    Node node = required(key, allowed);
+                    String text = scalar(key, node, allowed);
+                    try {
+                        long value = Long.parseLong(text);
+                        if (value >= least && value <= most) {
+                            return value;
+                        }
+                    } catch (NumberFormatException exception) {
+                        throw wrong(key, node, text, allowed);
+                    }
+                    throw wrong(key, node, text, allowed);
+                },
+                least);
     }
 
     /**
@@ -154,21 +170,25 @@
      * @throws DocumentException if the value is not a number in the range
      */
     public double number(String key, double least, double most, double missing) throws DocumentException {
-        if (!has(key)) {
-            return missing;
-        }
-        String allowed = "a number from " + least + " to " + most;
-        Node node = required(key, allowed);
-        String text = scalar(key, node, allowed);
-        try {
-            double value = Double.parseDouble(text);
-            if (value >= least && value <= most) {
-                return value;
-            }
-        } catch (NumberFormatException exception) {
-            throw wrong(key, node, text, allowed);
-        }
-        throw wrong(key, node, text, allowed);
+        return collect(
+                () -> {
+                    if (!has(key)) {
+                        return missing;
+                    }
+                    String allowed = "a number from " + least + " to " + most;
+                    Node node = required(key, allowed);
+                    String text = scalar(key, node, allowed);
+                    try {
+                        double value = Double.parseDouble(text);
+                        if (value >= least && value <= most) {
+                            return value;
+                        }
+                    } catch (NumberFormatException exception) {
+                        throw wrong(key, node, text, allowed);
+                    }
+                    throw wrong(key, node, text, allowed);
+                },
+                missing);
     }
 
     /**
@@ -180,16 +200,20 @@
      * @throws DocumentException if the value is neither {@code true} nor {@code false}
      */
     public boolean truth(String key, boolean missing) throws DocumentException {
-        if (!has(key)) {
-            return missing;
-        }
-        String allowed = "true or false";
-        Node node = required(key, allowed);
-        String text = scalar(key, node, allowed);
-        if (!text.equals("true") && !text.equals("false")) {
-            throw wrong(key, node, text, allowed);
-        }
-        return text.equals("true");
+        return collect(
+                () -> {
+                    if (!has(key)) {
+                        return missing;
+                    }
+                    String allowed = "true or false";
+                    Node node = required(key, allowed);
+                    String text = scalar(key, node, allowed);
+                    if (!text.equals("true") && !text.equals("false")) {
+                        throw wrong(key, node, text, allowed);
+                    }
+                    return text.equals("true");
+                },
+                missing);
     }
 
     /**
@@ -203,11 +227,15 @@
      * @throws DocumentException if the value names no constant
      */
     public <E extends Enum<E>> E choice(String key, Class<E> type, E missing) throws DocumentException {
-        if (!has(key)) {
-            return missing;
-        }
-        String allowed = "one of " + names(type);
-        return constant(key, required(key, allowed), type, allowed);
+        return collect(
+                () -> {
+                    if (!has(key)) {
+                        return missing;
+                    }
+                    String allowed = "one of " + ConstantNames.all(type);
+                    return constant(key, required(key, allowed), type, allowed);
+                },
+                missing);
     }
 
     /**
@@ -220,12 +248,16 @@
      * @throws DocumentException if the key is missing or a value names no constant
      */
     public <E extends Enum<E>> List<E> choices(String key, Class<E> type) throws DocumentException {
-        String allowed = "a list of " + names(type);
-        List<E> constants = new ArrayList<>();
-        for (Node node : sequence(key, allowed)) {
-            constants.add(constant(key, node, type, allowed));
-        }
-        return List.copyOf(constants);
+        return collect(
+                () -> {
+                    String allowed = "a list of " + ConstantNames.all(type);
+                    List<E> constants = new ArrayList<>();
+                    for (Node node : sequence(key, allowed)) {
+                        constants.add(constant(key, node, type, allowed));
+                    }
+                    return List.copyOf(constants);
+                },
+                List.of());
     }
 
     /**
@@ -236,7 +268,7 @@
      * @throws DocumentException if the key is missing or its value is not a mapping
      */
     public MappingReader mapping(String key) throws DocumentException {
-        return mappingOf(required(key, "a mapping"), pathOf(key));
+        return collect(() -> mappingOf(required(key, "a mapping"), pathOf(key)), empty(key));
     }
 
     /**
@@ -247,13 +279,17 @@
      * @throws DocumentException if the key is missing or its value is not a list of mappings
      */
     public List<MappingReader> mappings(String key) throws DocumentException {
-        List<MappingReader> readers = new ArrayList<>();
-        for (Node node : sequence(key, "a list of mappings")) {
-            String itemPath = pathOf(key) + "[" + readers.size() + "]";
-            document.located(itemPath, node);
-            readers.add(mappingOf(node, itemPath));
-        }
-        return List.copyOf(readers);
+        return collect(
+                () -> {
+                    List<MappingReader> readers = new ArrayList<>();
+                    for (Node node : sequence(key, "a list of mappings")) {
+                        String itemPath = pathOf(key) + "[" + readers.size() + "]";
+                        document.located(itemPath, node);
+                        readers.add(mappingOf(node, itemPath));
+                    }
+                    return List.copyOf(readers);
+                },
+                List.of());
     }
 
     /**
@@ -264,11 +300,15 @@
      * @throws DocumentException if the key is missing or its value is not a list of texts
      */
     public List<String> texts(String key) throws DocumentException {
-        List<String> texts = new ArrayList<>();
-        for (Node node : sequence(key, "a list of texts")) {
-            texts.add(scalar(key, node, "a list of texts"));
-        }
-        return List.copyOf(texts);
+        return collect(
+                () -> {
+                    List<String> texts = new ArrayList<>();
+                    for (Node node : sequence(key, "a list of texts")) {
+                        texts.add(scalar(key, node, "a list of texts"));
+                    }
+                    return List.copyOf(texts);
+                },
+                List.of());
     }
 
     /**
@@ -279,13 +319,52 @@
     public void finish() throws DocumentException {
         for (Map.Entry<String, Node> key : keys.entrySet()) {
             if (!known.contains(key.getKey())) {
-                throw document.failure(
-                        key.getValue(),
-                        "unknown key \"" + pathOf(key.getKey()) + "\", allowed: " + String.join(", ", known));
+                String allowed = NearestKey.hint(key.getKey(), known) + ", allowed: " + String.join(", ", known);
+                String problem = "unknown key \"" + pathOf(key.getKey()) + "\"" + allowed;
+                document.problems().add(document.failure(key.getValue(), problem));
             }
         }
     }
 
+    /**
+     * Reads a value, or takes a placeholder if there is a problem and problems are collected.
+     *
+     * @param reading reads the value
+     * @param placeholder the value that stands in
+     * @param <T> the type of the value
+     * @return the value
+     * @throws DocumentException if a problem ends the reading
+     */
+    private <T> T collect(Reading<T> reading, T placeholder) throws DocumentException {
+        try {
+            return reading.read();
+        } catch (DocumentException problem) {
+            document.problems().add(problem);
+            return placeholder;
+        }
+    }
+
+    /**
+     * Returns a reader of a mapping that is missing.
+     *
+     * @param key the key of the mapping
+     * @return a reader that finds nothing and has no problems
+     */
+    private MappingReader empty(String key) {
+        return new MappingReader(document.silent(), pathOf(key), mapping);
+    }
+
+    /**
+     * Takes a problem of the value of a key that was read before.
+     *
+     * @param key the key
+     * @param allowed what is allowed
+     * @throws DocumentException if a problem ends the reading
+     */
+    public void report(String key, String allowed) throws DocumentException {
+        document.problems().add(refuse(key, allowed));
+    }
+
     /**
      * Creates an exception for the value of a key that was read before.
      *
@@ -295,7 +374,7 @@
      */
     public DocumentException refuse(String key, String allowed) {
         Node node = values.getOrDefault(key, mapping);
-        return wrong(key, node, describe(node), allowed);
+        return wrong(key, node, ConstantNames.describe(node), allowed);
     }
 
     /**
@@ -338,7 +417,7 @@
         if (node instanceof ScalarNode scalar && !scalar.getValue().isEmpty()) {
             return scalar.getValue();
         }
-        throw wrong(key, node, describe(node), allowed);
+        throw wrong(key, node, ConstantNames.describe(node), allowed);
     }
 
     /**
@@ -354,7 +433,7 @@
         if (node instanceof SequenceNode sequence) {
             return sequence.getValue();
         }
-        throw wrong(key, node, describe(node), allowed);
+        throw wrong(key, node, ConstantNames.describe(node), allowed);
     }
 
     /**
@@ -370,7 +449,9 @@
             return new MappingReader(document, inner, nodePath);
         }
         throw document.failure(
-                node, "key \"" + nodePath + "\": value \"" + describe(node) + "\" is not allowed, allowed: a mapping");
+                node,
+                "key \"" + nodePath + "\": value \"" + ConstantNames.describe(node)
+                        + "\" is not allowed, allowed: a mapping");
     }
 
     /**
@@ -387,10 +468,9 @@
     private <E extends Enum<E>> E constant(String key, Node node, Class<E> type, String allowed)
             throws DocumentException {
         String text = scalar(key, node, allowed);
-        for (E constant : type.getEnumConstants()) {
-            if (nameOf(constant).equals(text)) {
-                return constant;
-            }
+        E constant = ConstantNames.find(type, text);
+        if (constant != null) {
+            return constant;
         }
         throw wrong(key, node, text, allowed);
     }
@@ -408,41 +488,4 @@
         return document.failure(
                 node, "key \"" + pathOf(key) + "\": value \"" + text + "\" is not allowed, allowed: " + allowed);
     }
-
-    /**
-     * Returns a node's text or kind.
-     *
-     * @param node the node
-     * @return the text of a scalar, otherwise the kind of the node
-     */
-    private static String describe(Node node) {
-        return node instanceof ScalarNode scalar
-                ? scalar.getValue()
-                : node.getNodeId().toString();
-    }
-
-    /**
-     * Returns the names of an enumeration's constants in documents.
-     *
-     * @param type the enumeration
-     * @param <E> the enumeration
-     * @return the names, separated by commas
-     */
-    private static <E extends Enum<E>> String names(Class<E> type) {
-        List<String> names = new ArrayList<>();
-        for (E constant : type.getEnumConstants()) {
-            names.add(nameOf(constant));
-        }
-        return String.join(", ", names);
-    }
-
-    /**
-     * Returns the name of a constant in documents.
-     *
-     * @param constant the constant
-     * @return the name in lower case with hyphens
-     */
-    public static String nameOf(Enum<?> constant) {
-        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
-    }
 }
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
@@ -7,7 +7,7 @@
 import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.util.List;
-import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.model.CallerLimits;
 import org.chivecourse.configuration.model.CallerRoute;
@@ -116,7 +116,7 @@
     private static void add(ObjectNode node, Service service) {
         node.put("name", service.name());
         node.put("path-prefix", service.pathPrefix());
-        node.put("priority", MappingReader.nameOf(service.priority()));
+        node.put("priority", ConstantNames.of(service.priority()));
         node.put("deadline-milliseconds", service.limits().deadline().toMillis());
         node.put("queue-limit", service.limits().queueLimit());
         node.put("retry-budget-percent", service.limits().retryBudgetPercent());
@@ -145,7 +145,7 @@
         node.put("name", route.name());
         node.put("host", route.host());
         node.put("path-prefix", route.pathPrefix());
-        node.put("idempotency", MappingReader.nameOf(route.idempotency()));
+        node.put("idempotency", ConstantNames.of(route.idempotency()));
         node.put("timeout-milliseconds", route.timeout().toMillis());
         node.put("target-latency-milliseconds", route.targetLatency().toMillis());
         node.put("rank", route.rank());
@@ -196,10 +196,10 @@
     private static void add(ObjectNode node, Route route) {
         ArrayNode methods = node.putArray("methods");
         for (Method method : route.methods()) {
-            methods.add(MappingReader.nameOf(method));
+            methods.add(ConstantNames.of(method));
         }
         node.put("path-prefix", route.pathPrefix());
-        node.put("idempotency", MappingReader.nameOf(route.idempotency()));
+        node.put("idempotency", ConstantNames.of(route.idempotency()));
         node.put("attempts", route.attempts());
         node.put("hedged", route.hedged());
         node.put("deadline-milliseconds", route.deadline().toMillis());
@@ -216,6 +216,6 @@
         node.put("data-centre", server.dataCentre());
         node.put("slots", server.slots());
         node.put("connections", server.connections());
-        node.put("mode", MappingReader.nameOf(server.mode()));
+        node.put("mode", ConstantNames.of(server.mode()));
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/ProblemDocument.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/ProblemDocument.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.decision.Decision;
 
 /** The answer that a gateway gives in its own name, as a problem document of RFC 9457. */
@@ -29,8 +29,8 @@
         node.put("type", "about:blank");
         node.put("title", refusal.reason().text());
         node.put("status", refusal.reason().status());
-        node.put("outcome", MappingReader.nameOf(refusal.outcome()));
-        node.put("reason", MappingReader.nameOf(refusal.reason()));
+        node.put("outcome", ConstantNames.of(refusal.outcome()));
+        node.put("reason", ConstantNames.of(refusal.reason()));
         if (refusal.retryAfterMilliseconds() > 0) {
             node.put("retry-after-milliseconds", refusal.retryAfterMilliseconds());
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/platform/HostList.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/platform/HostList.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.configuration.document.Document;
 import org.chivecourse.configuration.document.DocumentException;
 import org.chivecourse.configuration.document.MappingReader;
@@ -63,7 +64,7 @@
             node.put("name", host.name());
             node.put("address", host.address());
             node.put("data-centre", host.dataCentre());
-            node.put("state", MappingReader.nameOf(host.state()));
+            node.put("state", ConstantNames.of(host.state()));
         }
         try {
             return MAPPER.writeValueAsString(root);
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
-import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.configuration.model.RefusalSignal;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
@@ -311,7 +311,7 @@
         byte[] document = ProblemDocument.print(refusal);
         response.status(refusal.reason().status());
         response.header(HttpHeaderNames.CONTENT_TYPE, ProblemDocument.MEDIA_TYPE);
-        response.header(HeaderNames.OUTCOME, MappingReader.nameOf(refusal.outcome()));
+        response.header(HeaderNames.OUTCOME, ConstantNames.of(refusal.outcome()));
         response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(document.length));
         if (refusal.retryAfterMilliseconds() > 0) {
             response.header(HeaderNames.RETRY_AFTER, dialect.retryAfter(refusal.retryAfterMilliseconds()));
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/audit/AuditTrail.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/audit/AuditTrail.java
@@ -4,7 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.gateway.log.GatewayLog;
 
@@ -52,7 +52,7 @@
                 clock.instant(),
                 host,
                 GATEWAY,
-                MappingReader.nameOf(change.subject()),
+                ConstantNames.of(change.subject()),
                 change.name(),
                 change.from(),
                 change.to(),
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
-import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.call.ServiceState;
 import org.chivecourse.coordination.configuration.ConfigurationRegister;
 import org.chivecourse.coordination.host.HostCore;
@@ -112,7 +112,7 @@
         for (ServerState server : service.servers()) {
             ObjectNode entry = servers.addObject();
             entry.put("address", server.address());
-            entry.put("leaving", MappingReader.nameOf(server.leaving()));
+            entry.put("leaving", ConstantNames.of(server.leaving()));
             entry.put("ejected", server.ejected(now));
             entry.put("in-flight", server.ownInFlight());
             entry.put("sent", server.sent());
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetReader.java
@@ -38,7 +38,7 @@
     static Fleet fleet(MappingReader reader) throws DocumentException {
         String publisher = reader.text("publisher");
         if (!Address.valid(publisher)) {
-            throw reader.refuse("publisher", Address.ALLOWED);
+            reader.report("publisher", Address.ALLOWED);
         }
         Fleet fleet = new Fleet(
                 publisher,
@@ -61,8 +61,7 @@
         List<String> seeds = new ArrayList<>();
         for (String address : reader.texts("seeds")) {
             if (!Address.valid(address)) {
-                throw reader.refuse(
-                        "seeds", "a list of which each item is " + Address.ALLOWED + ", not \"" + address + "\"");
+                reader.report("seeds", "a list of which each item is " + Address.ALLOWED + ", not \"" + address + "\"");
             }
             seeds.add(address);
         }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -60,7 +60,7 @@
      * @throws DocumentException if the file cannot be read or a value is not allowed
      */
     public static GatewaySettings read(Path path) throws DocumentException {
-        return read(Document.read(path).root());
+        return read(Document.read(path).collecting());
     }
 
     /**
@@ -72,7 +72,20 @@
      * @throws DocumentException if a value is not allowed
      */
     public static GatewaySettings read(String source, String text) throws DocumentException {
-        return read(Document.parse(source, text).root());
+        return read(Document.parse(source, text).collecting());
+    }
+
+    /**
+     * Reads a document and refuses it with all its problems.
+     *
+     * @param document the document, which collects problems
+     * @return the settings
+     * @throws DocumentException if values are not allowed
+     */
+    private static GatewaySettings read(Document document) throws DocumentException {
+        GatewaySettings settings = read(document.root());
+        document.check();
+        return settings;
     }
 
     /**
@@ -103,7 +116,7 @@
                 file(reader, "backend-trust"));
         String callers = settings.callers().address();
         if (callers.equals(settings.operators().address()) && !callers.endsWith(":0")) {
-            throw reader.refuse("operators", "an address other than that of callers, \"" + callers + "\"");
+            reader.report("operators", "an address other than that of callers, \"" + callers + "\"");
         }
         reader.finish();
         return settings;
@@ -122,7 +135,7 @@
         String key = file(reader, "key");
         if (certificate.isEmpty() != key.isEmpty()) {
             String given = certificate.isEmpty() ? "key" : "certificate";
-            throw reader.refuse(given, "a certificate and a key together, or neither");
+            reader.report(given, "a certificate and a key together, or neither");
         }
         reader.finish();
         return new Endpoint(address, certificate, key);
@@ -139,7 +152,7 @@
         String address = reader.text("address");
         boolean anyPort = address.endsWith(":0") && Address.valid(address.substring(0, address.length() - 1) + "1");
         if (!anyPort && !Address.valid(address)) {
-            throw reader.refuse("address", Address.ALLOWED + ", or port 0 for any free port");
+            reader.report("address", Address.ALLOWED + ", or port 0 for any free port");
         }
         return address;
     }
@@ -168,7 +181,7 @@
     private static String file(MappingReader reader, String key) throws DocumentException {
         String name = reader.text(key, "");
         if (!name.isEmpty() && !Files.isReadable(Path.of(name))) {
-            throw reader.refuse(key, "a file that can be read");
+            reader.report(key, "a file that can be read");
         }
         return name;
     }
@@ -184,12 +197,11 @@
     private static List<String> addresses(MappingReader reader, String key) throws DocumentException {
         List<String> addresses = reader.texts(key);
         if (addresses.isEmpty()) {
-            throw reader.refuse(key, "at least one address");
+            reader.report(key, "at least one address");
         }
         for (String address : addresses) {
             if (!Address.valid(address)) {
-                throw reader.refuse(
-                        key, "a list of which each item is " + Address.ALLOWED + ", not \"" + address + "\"");
+                reader.report(key, "a list of which each item is " + Address.ALLOWED + ", not \"" + address + "\"");
             }
         }
         return addresses;
@@ -254,7 +266,7 @@
                 LONGEST_MILLISECONDS,
                 Drain.DEFAULT.deadline().toMillis());
         if (deadline <= linger) {
-            throw reader.refuse("deadline-milliseconds", "more than linger-milliseconds, " + linger);
+            reader.report("deadline-milliseconds", "more than linger-milliseconds, " + linger);
         }
         reader.finish();
         return new Drain(Duration.ofMillis(linger), Duration.ofMillis(deadline));
