Read the settings again when they change, with or without a signal

Cause: a changed settings file took effect at the next start only; a gateway whose seeds were out of date stayed alone. Change: the file is looked at each second and on SIGHUP; the publisher and the seeds are taken over at once, and a line says when other settings wait for the next start or when the file is refused.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
@@ -212,6 +212,21 @@
      */
     record FleetHeard(FleetDigest digest) implements Event {}
 
+    /**
+     * The settings name other gateways to find the fleet by.
+     *
+     * @param seeds the addresses of some gateways, which may be out of date
+     */
+    record SeedsChanged(List<String> seeds) implements Event {
+
+        /**
+         * Creates an event whose seeds are copied.
+         */
+        public SeedsChanged {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
     /**
      * The process did not run for a while, so that what it knows may be out of date.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -46,6 +46,9 @@
     /** Composes digests. */
     private final Composer composer;
 
+    /** The addresses of some gateways, which may be out of date. */
+    private List<String> seeds;
+
     /** The time of the first event, in nanoseconds. */
     private long startedAt;
 
@@ -71,11 +74,21 @@
      */
     DigestSchedule(HostSettings settings, Neighbours neighbours, SightingOutbox sightings, Composer composer) {
         this.settings = settings;
+        seeds = settings.fleet().seeds();
         this.neighbours = neighbours;
         this.sightings = sightings;
         this.composer = composer;
     }
 
+    /**
+     * Takes over other gateways to find the fleet by.
+     *
+     * @param addresses the addresses of some gateways, which may be out of date
+     */
+    void seeds(List<String> addresses) {
+        seeds = addresses;
+    }
+
     /**
      * Sends the digests that are due.
      *
@@ -108,7 +121,7 @@
             return;
         }
         seedsAt = now;
-        List<String> silent = new ArrayList<>(settings.fleet().seeds());
+        List<String> silent = new ArrayList<>(seeds);
         silent.remove(settings.fleet().address());
         for (Neighbour neighbour : neighbours.live(now)) {
             silent.remove(neighbour.member().address());
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -100,6 +100,15 @@
         schedule = new DigestSchedule(settings, neighbours, services.sightings(), this::digest);
     }
 
+    /**
+     * Takes over other gateways to find the fleet by.
+     *
+     * @param addresses the addresses of some gateways, which may be out of date
+     */
+    public void seeds(List<String> addresses) {
+        schedule.seeds(addresses);
+    }
+
     /**
      * Tells the others that this gateway is stopping.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -160,6 +160,8 @@
             fleet.pulled(pulled, now, sink);
         } else if (event instanceof Event.PublicationFailed failed) {
             fleet.readFailed(failed, now);
+        } else if (event instanceof Event.SeedsChanged changed) {
+            fleet.seeds(changed.seeds());
         } else if (event instanceof Event.Resumed) {
             fleet.timePassed(now, sink);
         } else {
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -340,6 +340,23 @@
         }
     }
 
+    /**
+     * Takes over changed settings: the publisher and the seeds of the fleet at once, others after the next start.
+     *
+     * @param changed the settings
+     * @param cause why they were read
+     */
+    public void reload(GatewaySettings changed, String cause) {
+        GatewaySettings.Fleet before = settings.fleet();
+        GatewaySettings.Fleet now = changed.fleet();
+        if (before != null && now != null) {
+            publication.publisher(now.publisher());
+            driver.handle(new Event.SeedsChanged(now.seeds()));
+        }
+        boolean rest = changed.withFleet(before).equals(settings);
+        audit.step("reloaded", cause + (rest ? "" : "; other settings than the fleet take effect at the next start"));
+    }
+
     /**
      * Records a step of the process's own life.
      *
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/GatewayProcess.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/GatewayProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Clock;
@@ -64,11 +65,11 @@
             GatewaySettings settings = GatewaySettingsReader.read(file);
             GatewayLog log = new JsonLineLog(settings.name(), clock, lines);
             Gateway gateway = new Gateway(settings, new SecureRandom().nextLong(), clock, environments.apply(log));
-            return serve(gateway);
+            return serve(gateway, new SettingsFile(file, gateway));
         } catch (DocumentException exception) {
             System.err.println("chivecourse: " + exception.getMessage());
             return BAD_INPUT;
-        } catch (GatewayException exception) {
+        } catch (GatewayException | IOException exception) {
             System.err.println("chivecourse: " + exception.getMessage());
             return FAILED;
         } catch (InterruptedException exception) {
@@ -83,16 +84,18 @@
      * Starts a gateway and stops it when a signal asks for it.
      *
      * @param gateway the gateway
+     * @param settings the file with its settings
      * @return the exit code
      * @throws GatewayException if it cannot start
      * @throws InterruptedException if the thread is interrupted
      */
-    private static int serve(Gateway gateway) throws GatewayException, InterruptedException {
+    private static int serve(Gateway gateway, SettingsFile settings) throws GatewayException, InterruptedException {
         CountDownLatch asked = new CountDownLatch(1);
         Signal.handle(new Signal("TERM"), signal -> asked.countDown());
         Signal.handle(new Signal("INT"), signal -> asked.countDown());
-        Signal.handle(new Signal("HUP"), signal -> gateway.step("reload", "SIGHUP"));
+        Signal.handle(new Signal("HUP"), signal -> settings.look("SIGHUP", true));
         gateway.start();
+        settings.start();
         asked.await();
         return gateway.stop() == 0 ? DONE : FAILED;
     }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/environment/PublicationReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/environment/PublicationReader.java
@@ -13,6 +13,13 @@
      */
     boolean perform(Decision decision);
 
+    /**
+     * Reads from another address from the next read on.
+     *
+     * @param address the address of the platform's publisher
+     */
+    void publisher(String address);
+
     /** Ends all reads. */
     void stop();
 
@@ -26,6 +33,11 @@
             return false;
         }
 
+        @Override
+        public void publisher(String address) {
+            // Nothing is read.
+        }
+
         @Override
         public void stop() {
             // There is nothing to end.
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
@@ -55,6 +55,33 @@
         hostList = List.copyOf(hostList);
     }
 
+    /**
+     * Returns these settings with another fleet.
+     *
+     * @param other the fleet, {@code null} if the platform lists hosts
+     * @return the changed settings
+     */
+    public GatewaySettings withFleet(Fleet other) {
+        return new GatewaySettings(
+                name,
+                dataCentre,
+                callers,
+                operators,
+                peers,
+                configurationService,
+                hostList,
+                expectedHosts,
+                choice,
+                http,
+                largestCalls,
+                keys,
+                traceSteps,
+                drain,
+                other,
+                threads,
+                backendTrust);
+    }
+
     /**
      * An address to listen on.
      *
