--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -253,7 +254,7 @@
                         attempt.decision(),
                         attempt.response().status().code(),
                         elapsedMilliseconds());
-        answer.tryEmitValue(Mono.defer(() -> writeAnswer(attempt)));
+        emit(Mono.defer(() -> writeAnswer(attempt)));
     }
 
     /**
@@ -290,13 +291,29 @@
             return;
         }
         register.log().refused(request.identifier(), call, refusal, elapsedMilliseconds());
-        answer.tryEmitValue(Mono.defer(() -> {
+        emit(Mono.defer(() -> {
             closeIfStopping();
             register.metrics().refused(refusal.outcome());
             return writeRefusal(response, refusal, head(), register.dialect());
         }));
     }
 
+    /**
+     * Has the answer written on the thread of the caller's connection.
+     *
+     * @param writing writes the answer
+     */
+    private void emit(Mono<Void> writing) {
+        response.withConnection(connection -> {
+            EventLoop loop = connection.channel().eventLoop();
+            if (loop.inEventLoop()) {
+                answer.tryEmitValue(writing);
+            } else {
+                loop.execute(() -> answer.tryEmitValue(writing));
+            }
+        });
+    }
+
     /**
      * Writes an answer in the gateway's own name.
      *
