--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.chivecourse.configuration.model.Method;
 import org.chivecourse.coordination.decision.Decision;
@@ -18,6 +19,7 @@
 import org.chivecourse.coordination.measure.ProbeFinding;
 import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.LeavingCause;
+import org.chivecourse.state.server.LoadReport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -165,6 +167,113 @@
         }
     }
 
+    @Nested
+    class Seeing {
+
+        private static FleetNetwork withServerIn(String dataCentre) {
+            FleetNetwork network = new FleetNetwork(HOSTS);
+            for (int number = 1; number <= 6; number++) {
+                network.publish(TextDecoder.server("i" + number, 0, "ready", dataCentre));
+            }
+            answerProbes(network, 2500);
+            network.forgetDecisions();
+            return network;
+        }
+
+        /** Returns the hosts that probe a backend server, each as often as it does. */
+        private static List<Integer> probing(FleetNetwork network, String identity) {
+            List<Integer> hosts = new ArrayList<>();
+            for (int host = 0; host < HOSTS; host++) {
+                for (Decision decision : network.decisions(host)) {
+                    if (decision instanceof Decision.Probe probe
+                            && probe.address().equals(identity)) {
+                        hosts.add(host);
+                    }
+                }
+            }
+            return hosts;
+        }
+
+        private static void answerProbes(FleetNetwork network, long milliseconds) {
+            for (long passed = 0; passed < milliseconds; passed += 50) {
+                network.pass(50);
+                for (int host = 0; host < HOSTS; host++) {
+                    if (network.core(host) != null) {
+                        answerProbesOf(network, host);
+                    }
+                }
+            }
+        }
+
+        private static void answerProbesOf(FleetNetwork network, int host) {
+            for (int number = 1; number <= 6; number++) {
+                Event.ProbeEnded ended =
+                        new Event.ProbeEnded("i" + number, true, new LoadReport(1, 4, 100), 1, ProbeFinding.SERVING);
+                boolean asked = network.decisions(host).stream()
+                        .anyMatch(decision -> decision.equals(new Decision.Probe(ended.address(), "/health")));
+                if (asked) {
+                    network.handle(FleetNetwork.name(host), ended);
+                }
+            }
+        }
+
+        @Test
+        void aServerIsProbedByOneGatewayOfItsDataCentre() {
+            FleetNetwork network = withServerIn("dc-1");
+            answerProbes(network, 2000);
+            for (int number = 1; number <= 6; number++) {
+                List<Integer> hosts = probing(network, "i" + number);
+                assertThat(hosts.stream().distinct().count(), equalTo(1L));
+                assertThat(hosts.get(0) % 3, equalTo(1));
+            }
+        }
+
+        @Test
+        void aServerWhoseProberDiesIsProbedByAnother() {
+            FleetNetwork network = withServerIn("dc-1");
+            answerProbes(network, 500);
+            int prober = probing(network, "i1").get(0);
+            network.kill(prober);
+            network.forgetDecisions();
+            answerProbes(network, 1500);
+            assertThat(probing(network, "i1").isEmpty(), equalTo(false));
+        }
+
+        @Test
+        void aServerOfADataCentreWithoutGatewaysIsProbedByEachOther() {
+            FleetNetwork network = withServerIn("elsewhere");
+            answerProbes(network, 500);
+            assertThat(
+                    probing(network, "i1").stream()
+                            .map(host -> host % 3)
+                            .distinct()
+                            .count(),
+                    equalTo(3L));
+        }
+
+        @Test
+        void aLoadSeenInOneDataCentreIsKnownInAllWithinAFifthOfASecond() {
+            FleetNetwork network = withServerIn("dc-1");
+            network.pass(100);
+            network.handle(
+                    "host-4", new Event.ProbeEnded("i3", true, new LoadReport(3, 4, 400), 1, ProbeFinding.SERVING));
+            network.pass(200);
+            for (HostCore core : network.cores()) {
+                assertThat(core.services().server("i3").condition().slowness(), equalTo(4.0));
+            }
+        }
+
+        @Test
+        void aCrashIsToldToAllAtOnce() {
+            FleetNetwork network = withServerIn("dc-1");
+            network.core(2).services().noteCrash(77, network.core(2).services().server("i3"));
+            network.pass(50);
+            for (int host = 3; host < HOSTS; host++) {
+                assertThat(network.core(host).poison().serversFailed(77), equalTo(1));
+            }
+        }
+    }
+
     @Nested
     class Outages {
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/TextDecoder.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/TextDecoder.java
@@ -13,7 +13,11 @@
     static final String CONFIGURATION = "configuration";
 
     static PublishedItem server(String identity, long revision, String state) {
-        String text = String.join(" ", identity, "jobs", "10.0.0." + identity.substring(1) + ":80", "a", state);
+        return server(identity, revision, state, "a");
+    }
+
+    static PublishedItem server(String identity, long revision, String state, String dataCentre) {
+        String text = String.join(" ", identity, "jobs", "10.0.0." + identity.substring(1) + ":80", dataCentre, state);
         return new PublishedItem("server " + identity, revision, text.getBytes(StandardCharsets.UTF_8));
     }
 
