--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/FleetBench.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/bench/FleetBench.java
@@ -211,7 +211,7 @@
      */
     private Event read(Datagram datagram) {
         try {
-            return codec.read(datagram.bytes(), "");
+            return codec.read(datagram.bytes(), "", 0);
         } catch (PeerMessageException exception) {
             throw new IllegalStateException("a datagram that was just printed cannot be read", exception);
         }
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/MappingReader.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/document/MappingReader.java
@@ -143,6 +143,34 @@
         return has(key) ? integer(key, least, most) : missing;
     }
 
+    /**
+     * Returns an optional number.
+     *
+     * @param key the key
+     * @param least the least value allowed
+     * @param most the largest value allowed
+     * @param missing the value for a missing key
+     * @return the number
+     * @throws DocumentException if the value is not a number in the range
+     */
+    public double number(String key, double least, double most, double missing) throws DocumentException {
+        if (!has(key)) {
+            return missing;
+        }
+        String allowed = "a number from " + least + " to " + most;
+        Node node = required(key, allowed);
+        String text = scalar(key, node, allowed);
+        try {
+            double value = Double.parseDouble(text);
+            if (value >= least && value <= most) {
+                return value;
+            }
+        } catch (NumberFormatException exception) {
+            throw wrong(key, node, text, allowed);
+        }
+        throw wrong(key, node, text, allowed);
+    }
+
     /**
      * Returns an optional truth value.
      *
--- /dev/null
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/CallerRouteReader.java
@@ -0,0 +1,94 @@
+package org.chivecourse.configuration.format;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.configuration.document.MappingReader;
+import org.chivecourse.configuration.model.CallerLimits;
+import org.chivecourse.configuration.model.CallerRoute;
+import org.chivecourse.configuration.model.Idempotency;
+import org.chivecourse.configuration.model.ServiceShare;
+
+/** Reads the routes by host name and the bounds on callers of a printed configuration. */
+final class CallerRouteReader {
+
+    /** The largest integer of a key whose range the rules check. */
+    private static final long UNBOUNDED = Integer.MAX_VALUE;
+
+    /** Not to be constructed. */
+    private CallerRouteReader() {}
+
+    /**
+     * Reads routes.
+     *
+     * @param readers the readers of the routes
+     * @return the routes in the order of the document
+     * @throws DocumentException if the shape is wrong
+     */
+    static List<CallerRoute> routes(List<MappingReader> readers) throws DocumentException {
+        List<CallerRoute> routes = new ArrayList<>();
+        for (MappingReader reader : readers) {
+            Duration timeout = milliseconds(reader, "timeout-milliseconds", CallerRoute.DEFAULT_TIMEOUT);
+            routes.add(new CallerRoute(
+                    reader.text("name"),
+                    reader.text("host"),
+                    reader.text("path-prefix"),
+                    reader.choice("idempotency", Idempotency.class, Idempotency.BY_METHOD),
+                    timeout,
+                    milliseconds(reader, "target-latency-milliseconds", timeout),
+                    (int) reader.integer("rank", 0, UNBOUNDED, CallerRoute.DEFAULT_RANK),
+                    (int) reader.integer("attempts", 1, UNBOUNDED, 1),
+                    shares(reader.mappings("services"))));
+            reader.finish();
+        }
+        return routes;
+    }
+
+    /**
+     * Reads the services of a route.
+     *
+     * @param readers the readers of the services
+     * @return the services and their shares
+     * @throws DocumentException if the shape is wrong
+     */
+    private static List<ServiceShare> shares(List<MappingReader> readers) throws DocumentException {
+        List<ServiceShare> shares = new ArrayList<>();
+        for (MappingReader reader : readers) {
+            shares.add(new ServiceShare(reader.text("name"), (int) reader.integer("weight", 0, UNBOUNDED, 1)));
+            reader.finish();
+        }
+        return shares;
+    }
+
+    /**
+     * Reads the bounds on callers.
+     *
+     * @param reader the reader of the bounds
+     * @return the bounds
+     * @throws DocumentException if the shape is wrong
+     */
+    static CallerLimits limits(MappingReader reader) throws DocumentException {
+        CallerLimits defaults = CallerLimits.UNBOUNDED;
+        CallerLimits limits = new CallerLimits(
+                (int) reader.integer("largest-header-bytes", 1, UNBOUNDED, defaults.largestHeaderBytes()),
+                reader.integer("largest-body-bytes", 0, Long.MAX_VALUE, defaults.largestBodyBytes()),
+                milliseconds(reader, "header-timeout-milliseconds", defaults.headerTimeout()),
+                milliseconds(reader, "idle-timeout-milliseconds", defaults.idleTimeout()));
+        reader.finish();
+        return limits;
+    }
+
+    /**
+     * Reads a time in milliseconds.
+     *
+     * @param reader the reader
+     * @param key the key
+     * @param missing the time for a missing key
+     * @return the time
+     * @throws DocumentException if the value is not allowed
+     */
+    private static Duration milliseconds(MappingReader reader, String key, Duration missing) throws DocumentException {
+        return Duration.ofMillis(reader.integer(key, 1, UNBOUNDED, missing.toMillis()));
+    }
+}
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationReader.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationReader.java
@@ -7,7 +7,10 @@
 import org.chivecourse.configuration.document.DocumentException;
 import org.chivecourse.configuration.document.MappingReader;
 import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.CallerLimits;
+import org.chivecourse.configuration.model.CallerRoute;
 import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Discovery;
 import org.chivecourse.configuration.model.Idempotency;
 import org.chivecourse.configuration.model.Limits;
 import org.chivecourse.configuration.model.MeasuringBudget;
@@ -65,8 +68,13 @@
         for (MappingReader service : reader.mappings("services")) {
             services.add(service(service));
         }
+        List<CallerRoute> routes =
+                reader.has("caller-routes") ? CallerRouteReader.routes(reader.mappings("caller-routes")) : List.of();
+        CallerLimits callers = reader.has("caller-limits")
+                ? CallerRouteReader.limits(reader.mapping("caller-limits"))
+                : CallerLimits.UNBOUNDED;
         reader.finish();
-        return new Configuration(revision, parent, services);
+        return new Configuration(revision, parent, services, routes, callers);
     }
 
     /**
@@ -87,11 +95,27 @@
                 reader.has("refusal") ? refusal(reader.mapping("refusal")) : RefusalSignal.NONE,
                 reader.has("measuring") ? measuring(reader.mapping("measuring")) : MeasuringBudget.NONE,
                 reader.has("routes") ? routes(reader.mappings("routes")) : List.of(),
-                servers(reader.mappings("backend-servers")));
+                reader.has("backend-servers") ? servers(reader.mappings("backend-servers")) : List.of(),
+                reader.has("discovery") ? discovery(reader.mapping("discovery")) : Discovery.NONE);
         reader.finish();
         return service;
     }
 
+    /**
+     * Reads how backend servers become known.
+     *
+     * @param reader the reader of the rule
+     * @return the rule
+     * @throws DocumentException if the shape is wrong
+     */
+    private static Discovery discovery(MappingReader reader) throws DocumentException {
+        Discovery defaults = Discovery.DEFAULT;
+        Discovery rule = new Discovery(true, reader.text("health-path", defaults.healthPath()), (int)
+                reader.integer("connections", 1, UNBOUNDED, defaults.connections()));
+        reader.finish();
+        return rule;
+    }
+
     /**
      * Reads the limits of a service.
      *
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
@@ -9,11 +9,14 @@
 import java.util.List;
 import org.chivecourse.configuration.document.MappingReader;
 import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.CallerLimits;
+import org.chivecourse.configuration.model.CallerRoute;
 import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.model.Method;
 import org.chivecourse.configuration.model.RefusalSignal;
 import org.chivecourse.configuration.model.Route;
 import org.chivecourse.configuration.model.Service;
+import org.chivecourse.configuration.model.ServiceShare;
 import org.chivecourse.configuration.rule.ConfigurationException;
 import org.chivecourse.configuration.rule.ConfigurationRules;
 import org.chivecourse.configuration.rule.Finding;
@@ -94,6 +97,13 @@
         }
         ArrayNode services = root.putArray("services");
         configuration.services().forEach(service -> add(services.addObject(), service));
+        if (!configuration.callerRoutes().isEmpty()) {
+            ArrayNode routes = root.putArray("caller-routes");
+            configuration.callerRoutes().forEach(route -> add(routes.addObject(), route));
+        }
+        if (!configuration.callerLimits().equals(CallerLimits.UNBOUNDED)) {
+            add(root.putObject("caller-limits"), configuration.callerLimits());
+        }
         return root;
     }
 
@@ -118,6 +128,47 @@
         service.routes().forEach(route -> add(routes.addObject(), route));
         ArrayNode servers = node.putArray("backend-servers");
         service.backendServers().forEach(server -> add(servers.addObject(), server));
+        if (service.discovery().announced()) {
+            ObjectNode discovery = node.putObject("discovery");
+            discovery.put("health-path", service.discovery().healthPath());
+            discovery.put("connections", service.discovery().connections());
+        }
+    }
+
+    /**
+     * Adds a route by host name.
+     *
+     * @param node the node to fill
+     * @param route the route
+     */
+    private static void add(ObjectNode node, CallerRoute route) {
+        node.put("name", route.name());
+        node.put("host", route.host());
+        node.put("path-prefix", route.pathPrefix());
+        node.put("idempotency", MappingReader.nameOf(route.idempotency()));
+        node.put("timeout-milliseconds", route.timeout().toMillis());
+        node.put("target-latency-milliseconds", route.targetLatency().toMillis());
+        node.put("rank", route.rank());
+        node.put("attempts", route.attempts());
+        ArrayNode services = node.putArray("services");
+        for (ServiceShare share : route.services()) {
+            ObjectNode item = services.addObject();
+            item.put("name", share.service());
+            item.put("weight", share.weight());
+        }
+    }
+
+    /**
+     * Adds the bounds on what callers may send.
+     *
+     * @param node the node to fill
+     * @param limits the bounds
+     */
+    private static void add(ObjectNode node, CallerLimits limits) {
+        node.put("largest-header-bytes", limits.largestHeaderBytes());
+        node.put("largest-body-bytes", limits.largestBodyBytes());
+        node.put("header-timeout-milliseconds", limits.headerTimeout().toMillis());
+        node.put("idle-timeout-milliseconds", limits.idleTimeout().toMillis());
     }
 
     /**
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/BackendServer.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/BackendServer.java
@@ -8,8 +8,10 @@
  * @param slots the number of requests it runs at the same time
  * @param connections the number of connections it accepts, summed over all gateways
  * @param mode what the configuration asks of it
+ * @param identity the name under which it announced itself, or its address if it is configured
  */
-public record BackendServer(String address, String dataCentre, int slots, int connections, ServerMode mode) {
+public record BackendServer(
+        String address, String dataCentre, int slots, int connections, ServerMode mode, String identity) {
 
     /** The number of slots where nothing else is said. */
     public static final int DEFAULT_SLOTS = 4;
@@ -17,6 +19,19 @@
     /** The number of connections where nothing else is said. */
     public static final int DEFAULT_CONNECTIONS = 200;
 
+    /**
+     * Creates a backend server that is known by its address.
+     *
+     * @param address the host name or IP number and the port, separated by a colon
+     * @param dataCentre the name of the data centre it stands in
+     * @param slots the number of requests it runs at the same time
+     * @param connections the number of connections it accepts, summed over all gateways
+     * @param mode what the configuration asks of it
+     */
+    public BackendServer(String address, String dataCentre, int slots, int connections, ServerMode mode) {
+        this(address, dataCentre, slots, connections, mode, address);
+    }
+
     /**
      * Creates an active backend server with the default slots and connections.
      *
@@ -34,7 +49,7 @@
      * @return the changed backend server
      */
     public BackendServer in(String name) {
-        return new BackendServer(address, name, slots, connections, mode);
+        return new BackendServer(address, name, slots, connections, mode, identity);
     }
 
     /**
@@ -44,7 +59,7 @@
      * @return the changed backend server
      */
     public BackendServer slots(int count) {
-        return new BackendServer(address, dataCentre, count, connections, mode);
+        return new BackendServer(address, dataCentre, count, connections, mode, identity);
     }
 
     /**
@@ -54,7 +69,16 @@
      * @return the changed backend server
      */
     public BackendServer connections(int count) {
-        return new BackendServer(address, dataCentre, slots, count, mode);
+        return new BackendServer(address, dataCentre, slots, count, mode, identity);
+    }
+
+    /**
+     * Returns whether it announced itself under a name of its own.
+     *
+     * @return {@code true} if its identity is not its address
+     */
+    public boolean announced() {
+        return !identity.equals(address);
     }
 
     /**
@@ -63,6 +87,6 @@
      * @return the changed backend server
      */
     public BackendServer leaving() {
-        return new BackendServer(address, dataCentre, slots, connections, ServerMode.LEAVING);
+        return new BackendServer(address, dataCentre, slots, connections, ServerMode.LEAVING, identity);
     }
 }
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Configuration.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Configuration.java
@@ -10,14 +10,33 @@
  * @param revision the number that orders revisions, at least one
  * @param parentDigest the digest of the configuration that this one changes, empty for the first
  * @param services the services
+ * @param callerRoutes the rules by host name and path; without any, the path prefixes of services decide
+ * @param callerLimits the bounds on what callers may send
  */
-public record Configuration(long revision, String parentDigest, List<Service> services) {
+public record Configuration(
+        long revision,
+        String parentDigest,
+        List<Service> services,
+        List<CallerRoute> callerRoutes,
+        CallerLimits callerLimits) {
 
     /**
-     * Creates a configuration whose services are copied.
+     * Creates a configuration whose lists are copied.
      */
     public Configuration {
         services = List.copyOf(services);
+        callerRoutes = List.copyOf(callerRoutes);
+    }
+
+    /**
+     * Creates a configuration without routes by host name and without bounds on callers.
+     *
+     * @param revision the number that orders revisions, at least one
+     * @param parentDigest the digest of the configuration that this one changes, empty for the first
+     * @param services the services
+     */
+    public Configuration(long revision, String parentDigest, List<Service> services) {
+        this(revision, parentDigest, services, List.of(), CallerLimits.UNBOUNDED);
     }
 
     /**
@@ -39,7 +58,7 @@
     public Configuration service(Service service) {
         List<Service> longer = new ArrayList<>(services);
         longer.add(service);
-        return new Configuration(revision, parentDigest, longer);
+        return new Configuration(revision, parentDigest, longer, callerRoutes, callerLimits);
     }
 
     /**
@@ -51,7 +70,29 @@
     public Configuration replacing(Service service) {
         List<Service> changed = new ArrayList<>(services);
         changed.replaceAll(old -> old.name().equals(service.name()) ? service : old);
-        return new Configuration(revision, parentDigest, changed);
+        return new Configuration(revision, parentDigest, changed, callerRoutes, callerLimits);
+    }
+
+    /**
+     * Returns this configuration with one more route by host name.
+     *
+     * @param route the route
+     * @return the changed configuration
+     */
+    public Configuration callerRoute(CallerRoute route) {
+        List<CallerRoute> longer = new ArrayList<>(callerRoutes);
+        longer.add(route);
+        return new Configuration(revision, parentDigest, services, longer, callerLimits);
+    }
+
+    /**
+     * Returns this configuration with bounds on what callers may send.
+     *
+     * @param limits the bounds
+     * @return the changed configuration
+     */
+    public Configuration callerLimits(CallerLimits limits) {
+        return new Configuration(revision, parentDigest, services, callerRoutes, limits);
     }
 
     /**
@@ -62,7 +103,7 @@
      * @return the new configuration
      */
     public Configuration following(long newRevision, String digest) {
-        return new Configuration(newRevision, digest, services);
+        return new Configuration(newRevision, digest, services, callerRoutes, callerLimits);
     }
 
     /**
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
 import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.CallerRoute;
 import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.model.Limits;
 import org.chivecourse.configuration.model.Method;
@@ -15,6 +17,7 @@
 import org.chivecourse.configuration.model.Route;
 import org.chivecourse.configuration.model.ServerMode;
 import org.chivecourse.configuration.model.Service;
+import org.chivecourse.configuration.model.ServiceShare;
 
 /** Checks the values of a configuration, alone and together. */
 public enum ConfigurationRules {
@@ -72,6 +75,13 @@
             findings.require(prefixes.add(prefix), path + ".path-prefix", prefix, "a path prefix used once");
             checkServers(findings, path, service, addresses);
         }
+        for (int index = 0; index < configuration.callerRoutes().size(); index++) {
+            checkCallerRoute(
+                    findings,
+                    "caller-routes[" + index + "]",
+                    configuration.callerRoutes().get(index),
+                    names);
+        }
         return findings.list;
     }
 
@@ -181,6 +191,36 @@
         findings.require(!route.hedged(), path + ".hedged", true, "false, " + reason);
     }
 
+    /**
+     * Checks a route by host name.
+     *
+     * @param findings receives the findings
+     * @param path the path of the route
+     * @param route the route
+     * @param services the names of the services
+     */
+    private static void checkCallerRoute(Findings findings, String path, CallerRoute route, Set<String> services) {
+        findings.require(
+                !route.host().isEmpty() && route.host().equals(route.host().toLowerCase(Locale.ROOT)),
+                path + ".host",
+                route.host(),
+                "a host name in lower case");
+        boolean prefix =
+                route.pathPrefix().startsWith("/") && route.pathPrefix().endsWith("/");
+        findings.require(prefix, path + ".path-prefix", route.pathPrefix(), "a path that begins and ends with a slash");
+        findings.range(path + ".attempts", route.attempts(), 1, LARGEST_ATTEMPTS);
+        findings.range(path + ".timeout-milliseconds", route.timeout().toMillis(), 1, LONGEST_DEADLINE_MILLISECONDS);
+        findings.require(!route.services().isEmpty(), path + ".services", "[]", "at least one service");
+        int sum = 0;
+        for (ServiceShare share : route.services()) {
+            boolean known = services.contains(share.service());
+            findings.require(known, path + ".services", share.service(), "the name of a service");
+            findings.range(path + ".services", share.weight(), 0, LARGEST_CAPACITY);
+            sum += share.weight();
+        }
+        findings.require(sum > 0, path + ".services", sum, "weights of which at least one is not zero");
+    }
+
     /**
      * Checks the backend servers of a service.
      *
@@ -200,7 +240,7 @@
             String allowed = "an address used once, but service \"" + other + "\" uses it already";
             findings.require(other == null, serverPath + ".address", server.address(), allowed);
         }
-        if (!active) {
+        if (!active && !service.discovery().announced()) {
             String problem = "service \"" + service.name() + "\" has no active backend server left, so that each of"
                     + " its requests would be refused; keep at least one active";
             findings.list.add(new Finding(Severity.DANGEROUS, path + ".backend-servers", problem));
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
@@ -1,5 +1,8 @@
 package org.chivecourse.coordination.call;
 
+import java.util.ArrayList;
+import java.util.List;
+import org.chivecourse.coordination.choice.FinishEstimate;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.poison.PoisonRegister;
@@ -11,6 +14,12 @@
 /** Starts attempts wherever a backend server has room. */
 final class AttemptLauncher {
 
+    /** A hundred percent. */
+    private static final double PERCENT = 100;
+
+    /** The number of nanoseconds in a millisecond. */
+    private static final long MILLISECOND = 1_000_000L;
+
     /** The calls and attempts. */
     private final CallLedger ledger;
 
@@ -47,7 +56,7 @@
         if (server == null) {
             return false;
         }
-        launch(call, server, now, sink);
+        launch(call, server, call.attempts().isEmpty() ? "first" : "again", now, sink);
         return true;
     }
 
@@ -56,18 +65,28 @@
      *
      * @param call the call
      * @param server the backend server
+     * @param purpose why the request is sent
      * @param now the time in nanoseconds
      * @param sink receives the decision
      * @return the attempt
      */
-    private AttemptState launch(CallState call, ServerState server, long now, DecisionSink sink) {
-        AttemptState attempt = ledger.begin(call, server, selector.inFlight(server), now);
+    private AttemptState launch(CallState call, ServerState server, String purpose, long now, DecisionSink sink) {
+        double inFlight = selector.inFlight(server);
+        Decision.Basis basis = new Decision.Basis(
+                purpose,
+                selector.weighed(),
+                inFlight,
+                (int) (PERCENT * FinishEstimate.slowness(server, now)),
+                server.reported() ? (now - server.reportedAt()) / MILLISECOND : -1,
+                server.incarnation());
+        AttemptState attempt = ledger.begin(call, server, inFlight, now);
         sink.decide(new Decision.Send(
                 call.identifier(),
                 attempt.identifier(),
-                server.address(),
+                server.identity(),
                 call.terms().deadline(),
-                call.attempts().size()));
+                call.attempts().size(),
+                basis));
         return attempt;
     }
 
@@ -99,8 +118,8 @@
     private void launchSuspect(ServiceState service, long now, DecisionSink sink) {
         CallState suspect = service.quarantine().pollReady(service.servers(), poison, now);
         if (suspect != null) {
-            selector.begin(service, now);
-            AttemptState attempt = launch(suspect, service.quarantine().reserved(), now, sink);
+            selector.begin(service, suspect, now);
+            AttemptState attempt = launch(suspect, service.quarantine().reserved(), "alone", now, sink);
             service.quarantine().runs(attempt);
         }
     }
@@ -113,6 +132,7 @@
      * @param sink receives the decisions that follow
      */
     void hedge(ServiceState service, long now, DecisionSink sink) {
+        hedgeOpen(service, now, sink);
         CallState call = service.hedges().pollDue(now);
         while (call != null) {
             boolean idle = service.waiting().size() == 0;
@@ -120,10 +140,41 @@
                     && call.attemptsOpen() == 1
                     && call.attemptsSent() < call.terms().attempts();
             ServerState server = idle && open ? selector.selectIdle(service, call, now) : null;
-            if (server != null && service.retries().spend()) {
-                launch(call, server, now, sink);
+            if (server != null && service.retries().spend(now)) {
+                launch(call, server, "hedge", now, sink);
             }
             call = service.hedges().pollDue(now);
         }
     }
+
+    /**
+     * Starts second attempts of calls whose backend server has become slow or is out of reach, and of those that
+     * another one can still answer within the target latency.
+     *
+     * @param service the service
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    private void hedgeOpen(ServiceState service, long now, DecisionSink sink) {
+        if (service.waiting().size() > 0) {
+            return;
+        }
+        List<AttemptState> later = new ArrayList<>();
+        AttemptState attempt = service.open().pollDue(service.work(), now);
+        while (attempt != null) {
+            CallState call = attempt.call();
+            boolean open = call.attemptsOpen() == 1
+                    && call.attemptsSent() < call.terms().attempts();
+            ServerState server = open ? selector.selectIdle(service, call, now) : null;
+            boolean better = server != null
+                    && FinishEstimate.slowness(server, now) < FinishEstimate.slowness(attempt.server(), now) + 1;
+            if (better && service.retries().spend(now)) {
+                launch(call, server, "hedge", now, sink);
+            } else if (open) {
+                later.add(attempt);
+            }
+            attempt = service.open().pollDue(service.work(), now);
+        }
+        later.forEach(service.open()::putBack);
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
@@ -1,12 +1,13 @@
 package org.chivecourse.coordination.call;
 
+import java.util.random.RandomGenerator;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.decision.Outcome;
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.event.Arrival;
-import org.chivecourse.coordination.limit.ExpectedWait;
 import org.chivecourse.coordination.ownership.KeyOwnership;
+import org.chivecourse.state.call.AttemptState;
 import org.chivecourse.state.call.CallPhase;
 import org.chivecourse.state.call.CallState;
 import org.chivecourse.state.key.KeyState;
@@ -23,17 +24,22 @@
     /** The rule that the request of a key runs at most once over all hosts. */
     private final KeyOwnership ownership;
 
+    /** Says when callers may come back. */
+    private final ReturnTime returns;
+
     /**
      * Creates final answers.
      *
      * @param services the services of the configuration in force
      * @param ledger the calls and attempts
      * @param ownership the rule that the request of a key runs at most once over all hosts
+     * @param random the source of randomness
      */
-    FinalAnswers(ServiceRegister services, CallLedger ledger, KeyOwnership ownership) {
+    FinalAnswers(ServiceRegister services, CallLedger ledger, KeyOwnership ownership, RandomGenerator random) {
         this.services = services;
         this.ledger = ledger;
         this.ownership = ownership;
+        returns = new ReturnTime(random);
     }
 
     /**
@@ -50,21 +56,33 @@
         Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
         boolean again = call.terms().idempotent() || notSent && reason != Reason.ANSWERED_BEFORE;
         ServiceState service = services.service(call.terms().service());
+        long after = again ? returns.milliseconds(call.terms(), reason, service) : 0;
+        String explanation = explanation(call, service);
         finish(call, now, sink);
         sink.decide(new Decision.Refuse(
-                call.identifier(), new Decision.Refusal(outcome, reason, again ? retryAfter(service) : 0)));
+                call.identifier(), new Decision.Refusal(outcome, reason.stating(outcome), after, explanation)));
     }
 
     /**
-     * Returns when a copy of a refused request makes sense.
+     * Returns what a final answer rests on, for logs.
      *
+     * @param call the call
      * @param service the service, {@code null} if the configuration in force has none
-     * @return the time in seconds
+     * @return the explanation
      */
-    private static int retryAfter(ServiceState service) {
-        return service == null
-                ? 1
-                : ExpectedWait.retryAfterSeconds(service.waiting().size(), service.servers());
+    private static String explanation(CallState call, ServiceState service) {
+        StringBuilder text = new StringBuilder();
+        for (AttemptState attempt : call.attempts()) {
+            text.append(attempt.server().identity())
+                    .append(' ')
+                    .append(attempt.evidence())
+                    .append(", ");
+        }
+        if (service != null) {
+            text.append(service.waiting().size()).append(" waiting, ");
+            text.append(service.servers().size()).append(" backend servers");
+        }
+        return text.toString();
     }
 
     /**
@@ -73,13 +91,15 @@
      * @param call the identifier of the call
      * @param reason why
      * @param arrival what is known of the request
+     * @param service the service, {@code null} if there is none
      * @param sink receives the decision
      */
-    void refuse(long call, Reason reason, Arrival arrival, DecisionSink sink) {
+    void refuse(long call, Reason reason, Arrival arrival, ServiceState service, DecisionSink sink) {
         Outcome outcome = mayRunElsewhere(arrival.key()) ? Outcome.UNKNOWN : Outcome.NOT_RUN;
         boolean again = reason == Reason.QUEUE_FULL || reason == Reason.NO_CONFIGURATION;
-        ServiceState service = services.serviceFor(arrival.path()).orElse(null);
-        sink.decide(new Decision.Refuse(call, new Decision.Refusal(outcome, reason, again ? retryAfter(service) : 0)));
+        long after = again ? returns.milliseconds(arrival, service) : 0;
+        String explanation = "revision " + services.configuration().revision();
+        sink.decide(new Decision.Refuse(call, new Decision.Refusal(outcome, reason, after, explanation)));
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -38,10 +38,13 @@
      * Starts a choice.
      *
      * @param service the service
+     * @param call the call
      * @param now the time in nanoseconds
      */
-    void begin(ServiceState service, long now) {
-        candidates.begin(service.servers(), service.reported().average(), now);
+    void begin(ServiceState service, CallState call, long now) {
+        double usual =
+                service.work().nanoseconds(call.terms().route(), call.terms().targetNanoseconds());
+        candidates.begin(service.servers(), service.reported().average(), usual, now);
         reserved = service.quarantine().reserved();
     }
 
@@ -54,12 +57,12 @@
      * @return the backend server, or {@code null} if none has
      */
     ServerState selectIdle(ServiceState service, CallState call, long now) {
-        begin(service, now);
+        begin(service, call, now);
         draw(
                 service,
                 server -> free(server, now)
                         && !call.tried(server)
-                        && candidates.inFlight(server) < server.server().slots());
+                        && policy.inFlight(server, candidates) < server.server().slots());
         return candidates.size() == 0 ? null : policy.choose(candidates, service.nextTurn(), random);
     }
 
@@ -89,7 +92,7 @@
      * @return the backend server, or {@code null} if none may take the call now
      */
     ServerState select(ServiceState service, CallState call, long now) {
-        begin(service, now);
+        begin(service, call, now);
         if (!call.attempts().isEmpty()) {
             draw(service, server -> free(server, now) && !call.tried(server));
         }
@@ -112,7 +115,16 @@
      * @return the number of requests, one to come included
      */
     double inFlight(ServerState server) {
-        return candidates.inFlight(server) + 1;
+        return policy.inFlight(server, candidates) + 1;
+    }
+
+    /**
+     * Returns the number of backend servers that were weighed in the last selection.
+     *
+     * @return the number
+     */
+    int weighed() {
+        return candidates.size();
     }
 
     /**
@@ -138,7 +150,9 @@
      * @return {@code true} if it is neither leaving nor ejected nor full
      */
     private boolean free(ServerState server, long now) {
-        return unlessEjected(server) && !server.ejected(now);
+        return unlessEjected(server)
+                && !server.ejected(now)
+                && !server.condition().isUnreachable(now);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegister.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegister.java
@@ -1,39 +1,77 @@
 package org.chivecourse.coordination.call;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.CallerRoute;
 import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
-import org.chivecourse.coordination.measure.ProbeBudget;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.coordination.fleet.SightingOutbox;
+import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.coordination.registry.Registry;
+import org.chivecourse.coordination.route.RouteTable;
+import org.chivecourse.state.fleet.Crash;
+import org.chivecourse.state.fleet.Sighting;
+import org.chivecourse.state.fleet.SightingKind;
 import org.chivecourse.state.server.LeavingCause;
+import org.chivecourse.state.server.LoadReport;
 import org.chivecourse.state.server.ServerState;
 
 /** The services of the configuration in force, with what the host has learnt of their backend servers. */
 public final class ServiceRegister {
 
+    /** What the core knows of its host. */
+    private final HostSettings settings;
+
+    /** The backend servers that announce themselves. */
+    private final Registry registry;
+
+    /** The source of randomness. */
+    private final RandomGenerator random;
+
+    /** What this host saw of backend servers and has not told others. */
+    private final SightingOutbox sightings = new SightingOutbox();
+
     /** The configuration in force. */
     private Configuration configuration = Configuration.revision(0);
 
+    /** The routes by host name. */
+    private RouteTable routes;
+
     /** The services by name. */
     private Map<String, ServiceState> services = new LinkedHashMap<>();
 
-    /** The backend servers by address. */
+    /** The backend servers by identity. */
     private final Map<String, ServerState> servers = new LinkedHashMap<>();
 
-    /** The largest number of hosts that may probe at the same time. */
-    private final int hosts;
+    /** The services by the identity of their backend servers. */
+    private final Map<String, ServiceState> serviceOfServer = new HashMap<>();
+
+    /** The number of hosts that may run gateways. */
+    private int hosts;
 
     /**
      * Creates a register without services.
      *
-     * @param hosts the largest number of hosts that may probe at the same time
+     * @param settings what the core knows of its host
+     * @param registry the backend servers that announce themselves
+     * @param random the source of randomness
      */
-    public ServiceRegister(int hosts) {
-        this.hosts = hosts;
+    public ServiceRegister(HostSettings settings, Registry registry, RandomGenerator random) {
+        this.settings = settings;
+        this.registry = registry;
+        this.random = random;
+        hosts = settings.expectedHosts();
+        routes = new RouteTable(List.of(), random);
     }
 
     /**
@@ -43,100 +81,245 @@
      * @param now the time in nanoseconds
      */
     public void apply(Configuration changed, long now) {
+        configuration = changed;
+        if (!changed.callerRoutes().isEmpty() || !routes.isEmpty()) {
+            routes = new RouteTable(changed.callerRoutes(), random);
+        }
+        takeServers(now);
+    }
+
+    /**
+     * Takes over the backend servers of the configuration and those that announced themselves.
+     *
+     * @param now the time in nanoseconds
+     */
+    public void takeServers(long now) {
         Map<String, ServiceState> next = new LinkedHashMap<>();
-        for (Service service : changed.services()) {
+        for (Service service : configuration.services()) {
             ServiceState state = services.get(service.name());
             if (state == null) {
-                state = new ServiceState(service, servers, now, new ProbeBudget(hosts, now));
+                state = new ServiceState(service, servers, registry.of(service.name()), settings, () -> hosts, now);
             } else {
-                state.reconfigure(service, now);
+                state.reconfigure(service, servers, registry.of(service.name()), now);
             }
             next.put(service.name(), state);
         }
-        configuration = changed;
         services = next;
         servers.clear();
-        next.values().forEach(state -> state.servers().forEach(server -> servers.put(server.address(), server)));
+        serviceOfServer.clear();
+        for (ServiceState state : next.values()) {
+            for (ServerState server : state.servers()) {
+                servers.put(server.identity(), server);
+                serviceOfServer.put(server.identity(), state);
+            }
+        }
+    }
+
+    /**
+     * Takes over the number of hosts that may run gateways.
+     *
+     * @param count the number
+     */
+    public void hosts(int count) {
+        hosts = count;
+    }
+
+    /**
+     * Returns the number of hosts that may run gateways.
+     *
+     * @return the number
+     */
+    public int hosts() {
+        return hosts;
+    }
+
+    /**
+     * Takes over what another host saw of a backend server.
+     *
+     * @param sighting the sighting
+     * @param now the time in nanoseconds
+     * @param sink receives the changes
+     */
+    public void seen(Sighting sighting, long now, DecisionSink sink) {
+        ServerState server = servers.get(sighting.server());
+        if (server == null) {
+            return;
+        }
+        switch (sighting.kind()) {
+            case LOAD -> {
+                if (!server.reported() || sighting.seenAt() - server.reportedAt() > 0) {
+                    server.report(sighting.report(), sighting.seenAt());
+                    server.condition().reachable();
+                }
+            }
+            case FAILURE -> server.condition().failed(now);
+            case UNREACHABLE -> server.condition().unreachable(now);
+            case UNWELL -> server.condition().says(false, now);
+            case REPLACED -> {
+                // Only this host's own requests tell: another host may know an older announcement of the same name.
+            }
+            default -> leave(sighting.server(), LeavingCause.PEER, configuration.revision(), sink);
+        }
+    }
+
+    /**
+     * Notes a load report that this host got itself.
+     *
+     * @param server the backend server
+     * @param report the report
+     * @param now the time in nanoseconds
+     */
+    public void noteLoad(ServerState server, LoadReport report, long now) {
+        server.report(report, now);
+        note(server, SightingKind.LOAD, report, now);
+    }
+
+    /**
+     * Notes that a backend server failed a request that this host had handed it.
+     *
+     * @param server the backend server
+     * @param now the time in nanoseconds
+     */
+    public void noteFailure(ServerState server, long now) {
+        server.condition().failed(now);
+        note(server, SightingKind.FAILURE, null, now);
+    }
+
+    /**
+     * Notes that this host could not reach a backend server.
+     *
+     * @param server the backend server
+     * @param now the time in nanoseconds
+     */
+    public void noteUnreachable(ServerState server, long now) {
+        server.condition().unreachable(now);
+        note(server, SightingKind.UNREACHABLE, null, now);
+    }
+
+    /**
+     * Notes what a backend server told this host of its health.
+     *
+     * @param server the backend server
+     * @param well whether it says that it serves
+     * @param now the time in nanoseconds
+     */
+    public void noteHealth(ServerState server, boolean well, long now) {
+        boolean before = server.condition().isUnwell(now);
+        server.condition().says(well, now);
+        if (!well || before) {
+            note(server, SightingKind.UNWELL, null, now);
+        }
+    }
+
+    /**
+     * Notes that a request's run coincided with a failure of a backend server.
+     *
+     * @param fingerprint a number that copies of the request share
+     * @param server the backend server
+     */
+    public void noteCrash(long fingerprint, ServerState server) {
+        if (settings.fleet().enabled()) {
+            sightings.add(new Crash(fingerprint, server.identity()));
+        }
+    }
+
+    /**
+     * Notes a sighting for other hosts.
+     *
+     * @param server the backend server
+     * @param kind what was seen
+     * @param report the load that it stated, {@code null} if it stated none
+     * @param now the time in nanoseconds
+     */
+    private void note(ServerState server, SightingKind kind, LoadReport report, long now) {
+        if (settings.fleet().enabled()) {
+            sightings.add(new Sighting(server.identity(), kind, report, now));
+        }
     }
 
     /**
      * Marks a backend server as leaving.
      *
-     * @param address the address of the backend server
+     * @param identity the identity of the backend server
      * @param cause how the host learnt of it
      * @param revision the revision in force
      * @param sink receives the change
      */
-    public void leave(String address, LeavingCause cause, long revision, DecisionSink sink) {
-        ServerState server = servers.get(address);
+    public void leave(String identity, LeavingCause cause, long revision, DecisionSink sink) {
+        ServerState server = servers.get(identity);
         if (server != null && server.leave(cause)) {
-            sink.decide(change(address, "staying", "leaving", cause, revision));
+            sink.decide(change(identity, "staying", "leaving", cause, revision));
         }
     }
 
     /**
      * Marks a backend server as staying.
      *
-     * @param address the address of the backend server
+     * @param identity the identity of the backend server
      * @param revision the revision in force
      * @param sink receives the change
      */
-    public void stay(String address, long revision, DecisionSink sink) {
-        ServerState server = servers.get(address);
+    public void stay(String identity, long revision, DecisionSink sink) {
+        ServerState server = servers.get(identity);
         if (server == null) {
             return;
         }
         LeavingCause cause = server.leaving();
         if (server.stay()) {
-            sink.decide(change(address, "leaving", "staying", cause, revision));
+            sink.decide(change(identity, "leaving", "staying", cause, revision));
         }
     }
 
     /**
-     * Creates the audit record of a backend server that leaves or stays.
+     * Creates the record of a change.
      *
-     * @param address the address of the backend server
-     * @param from the value before
-     * @param to the value now
+     * @param identity the identity of the backend server
+     * @param from the state before
+     * @param to the state now
      * @param cause how the host learnt of it
      * @param revision the revision in force
      * @return the decision
      */
-    private static Decision change(String address, String from, String to, LeavingCause cause, long revision) {
+    private static Decision change(String identity, String from, String to, LeavingCause cause, long revision) {
         return new Decision.Audit(
-                new Decision.Change(Decision.Subject.SERVER_LEAVING, address, from, to, cause.toString(), revision));
+                new Decision.Change(Decision.Subject.SERVER_LEAVING, identity, from, to, cause.toString(), revision));
+    }
+
+    /**
+     * Returns the backend servers of all services.
+     *
+     * @return the backend servers as configured or announced
+     */
+    public List<BackendServer> backendServers() {
+        List<BackendServer> all = new ArrayList<>(servers.size());
+        servers.values().forEach(server -> all.add(server.server()));
+        return all;
     }
 
     /**
      * Returns a backend server.
      *
-     * @param address the address
-     * @return the backend server, or {@code null} if the configuration in force does not name it
+     * @param identity the identity
+     * @return the state, or {@code null} if there is none
      */
-    public ServerState server(String address) {
-        return servers.get(address);
+    public ServerState server(String identity) {
+        return servers.get(identity);
     }
 
     /**
      * Returns the service of a backend server.
      *
-     * @param address the address
-     * @return the service, or {@code null} if the configuration in force does not name the address
+     * @param identity the identity of the backend server
+     * @return the service, or {@code null} if there is none
      */
-    public ServiceState serviceOf(String address) {
-        ServerState server = servers.get(address);
-        for (ServiceState service : services.values()) {
-            if (server != null && service.servers().contains(server)) {
-                return service;
-            }
-        }
-        return null;
+    public ServiceState serviceOf(String identity) {
+        return serviceOfServer.get(identity);
     }
 
     /**
      * Returns the configuration in force.
      *
-     * @return the configuration, of revision zero before the first
+     * @return the configuration
      */
     public Configuration configuration() {
         return configuration;
@@ -145,29 +328,55 @@
     /**
      * Returns a service.
      *
-     * @param name the name of the service
-     * @return the service, or {@code null} if the configuration in force has none of the name
+     * @param name the name
+     * @return the state, or {@code null} if there is none
      */
     public ServiceState service(String name) {
         return services.get(name);
     }
 
     /**
-     * Returns the service that a path leads to.
+     * Returns the route by host name of a request.
      *
-     * @param path the path of a request
+     * @param arrival the request
+     * @return the route, or {@code null} if there is none
+     */
+    CallerRoute route(Arrival arrival) {
+        return routes.route(arrival.host(), arrival.path());
+    }
+
+    /**
+     * Returns the service that takes a request.
+     *
+     * @param arrival the request
+     * @param route its route by host name, {@code null} if there is none
      * @return the service, if there is one
      */
-    public Optional<ServiceState> serviceFor(String path) {
-        return configuration.serviceFor(path).map(service -> services.get(service.name()));
+    Optional<ServiceState> serviceFor(Arrival arrival, CallerRoute route) {
+        if (route != null) {
+            return Optional.ofNullable(services.get(routes.service(route)));
+        }
+        if (!routes.isEmpty()) {
+            return Optional.empty();
+        }
+        return configuration.serviceFor(arrival.path()).map(service -> services.get(service.name()));
     }
 
     /**
-     * Returns all services.
+     * Returns the services in the order of the configuration.
      *
-     * @return the services in the order of the configuration
+     * @return the services
      */
     public Collection<ServiceState> all() {
         return services.values();
     }
+
+    /**
+     * Returns what this host saw of backend servers and has not told others.
+     *
+     * @return the sightings
+     */
+    public SightingOutbox sightings() {
+        return sightings;
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/TermsOfCalls.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/TermsOfCalls.java
@@ -1,6 +1,7 @@
 package org.chivecourse.coordination.call;
 
 import java.util.Optional;
+import org.chivecourse.configuration.model.CallerRoute;
 import org.chivecourse.configuration.model.Route;
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.event.Arrival;
@@ -37,7 +38,41 @@
                 arrival.key(),
                 arrival.fingerprint(),
                 now,
-                now + allowedNanoseconds(service, route, arrival));
+                now + allowedNanoseconds(service, route, arrival),
+                "",
+                service.priority().ordinal(),
+                allowedNanoseconds(service, route, arrival));
+    }
+
+    /**
+     * Returns the terms of an arrival whose route is found by host name.
+     *
+     * @param route the route
+     * @param service the service that takes the request
+     * @param arrival what is known of the request
+     * @param now the time in nanoseconds
+     * @return the terms
+     */
+    static CallTerms of(CallerRoute route, Service service, Arrival arrival, long now) {
+        boolean idempotent = route.idempotency().covers(arrival.method());
+        boolean outermost = arrival.depth() == 0;
+        long longest = route.timeout().toNanos();
+        long asked = arrival.remainingNanoseconds();
+        return new CallTerms(
+                service.name(),
+                arrival.method(),
+                arrival.path(),
+                idempotent,
+                outermost ? route.attempts() : 1,
+                outermost && idempotent,
+                arrival.replayable(),
+                "",
+                arrival.fingerprint(),
+                now,
+                now + (asked > 0 ? Math.min(longest, asked) : longest),
+                route.name(),
+                route.rank(),
+                route.targetLatency().toNanos());
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
@@ -19,6 +19,9 @@
     /** The average number of other hosts' requests at the service's backend servers. */
     private double othersOnAverage;
 
+    /** The time that the request takes on a backend server that works as usual, in nanoseconds. */
+    private double usualNanoseconds;
+
     /**
      * Starts a choice without candidates.
      *
@@ -64,6 +67,39 @@
         collect(all, eligible, 0, all.size());
     }
 
+    /**
+     * Starts a choice for a request of which the usual time is known.
+     *
+     * @param all the backend servers of the service
+     * @param othersAverage the average number of other hosts' requests at them
+     * @param usual the time that the request takes on a backend server that works as usual, in nanoseconds
+     * @param time the time of the choice in nanoseconds
+     */
+    public void begin(List<ServerState> all, double othersAverage, double usual, long time) {
+        begin(all, othersAverage, time);
+        usualNanoseconds = usual;
+    }
+
+    /**
+     * Returns the estimated time until a backend server answers.
+     *
+     * @param index the place of the backend server
+     * @return the time in nanoseconds
+     */
+    double finish(int index) {
+        return FinishEstimate.nanoseconds(servers[index], usualNanoseconds, othersOnAverage, now);
+    }
+
+    /**
+     * Returns the estimated number of requests in flight, with the weight that suits frequent reports.
+     *
+     * @param server the backend server
+     * @return the number of requests
+     */
+    public double presentInFlight(ServerState server) {
+        return FinishEstimate.inFlight(server, othersOnAverage, now);
+    }
+
     /**
      * Returns the estimated number of requests in flight at a backend server over all hosts.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
@@ -74,8 +74,50 @@
         public int largestDraw() {
             return LARGEST_DRAW;
         }
+    },
+
+    /**
+     * Chooses the backend server that is estimated to answer first, from stated loads and the slowness of machines;
+     * backend servers that are nearly alike are chosen at random, so that hosts which see the same do not all choose
+     * the same.
+     */
+    EARLIEST_FINISH {
+        @Override
+        public ServerState choose(Candidates candidates, long turn, RandomGenerator random) {
+            int best = 0;
+            double least = Double.MAX_VALUE;
+            for (int index = 0; index < candidates.size(); index++) {
+                double estimate = candidates.finish(index) * (1 + ALIKE_SHARE * random.nextDouble());
+                if (estimate < least) {
+                    least = estimate;
+                    best = index;
+                }
+            }
+            return candidates.get(best);
+        }
+
+        @Override
+        public boolean admits(ServerState server, Candidates candidates) {
+            return candidates.presentInFlight(server) < server.server().slots();
+        }
+
+        @Override
+        public double inFlight(ServerState server, Candidates candidates) {
+            return candidates.presentInFlight(server);
+        }
+
+        @Override
+        public int largestDraw() {
+            return LARGEST_ESTIMATED_DRAW;
+        }
     };
 
+    /** The difference up to which estimates count as alike. */
+    private static final double ALIKE_SHARE = 0.1;
+
+    /** The largest number of backend servers among which the earliest finish is sought. */
+    private static final int LARGEST_ESTIMATED_DRAW = 64;
+
     /** The largest number of backend servers that are compared by their estimates. */
     private static final int LARGEST_DRAW = 24;
 
@@ -88,6 +130,17 @@
         return Integer.MAX_VALUE;
     }
 
+    /**
+     * Returns the estimated number of requests in flight at a backend server over all hosts.
+     *
+     * @param server the backend server
+     * @param candidates what is known of the moment
+     * @return the number of requests
+     */
+    public double inFlight(ServerState server, Candidates candidates) {
+        return candidates.inFlight(server);
+    }
+
     /**
      * Returns whether a backend server has room for one more request.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import org.chivecourse.configuration.format.PrintedConfiguration;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.key.KeyQuestion;
 import org.chivecourse.state.key.KeyReply;
 import org.chivecourse.state.peer.PeerDigest;
@@ -14,11 +16,12 @@
      *
      * @param call the identifier of the call
      * @param attempt the identifier of the attempt, unique on the host
-     * @param address the address of the backend server
+     * @param address the identity of the backend server
      * @param deadline the time in nanoseconds at which the caller gets an answer in any case
      * @param number the number of this attempt among those of the call, counted from one
+     * @param basis what the choice of the backend server rests on
      */
-    record Send(long call, long attempt, String address, long deadline, int number) implements Decision {}
+    record Send(long call, long attempt, String address, long deadline, int number, Basis basis) implements Decision {}
 
     /**
      * Hand the request to the connection that is ready.
@@ -67,9 +70,10 @@
     /**
      * Connect to a backend server for a probe of its load and report when the connection is ready.
      *
-     * @param address the address of the backend server
+     * @param address the identity of the backend server
+     * @param path the path of the endpoint that states the load
      */
-    record Probe(String address) implements Decision {}
+    record Probe(String address, String path) implements Decision {}
 
     /**
      * Send the probe whose connection is ready.
@@ -126,6 +130,70 @@
      */
     record Watch(boolean withoutPause) implements Decision {}
 
+    /**
+     * Read all published items.
+     *
+     * @param call the number of the read
+     * @param staleAllowed whether the answer may be out of date by some seconds
+     */
+    record ListPublication(long call, boolean staleAllowed) implements Decision {}
+
+    /**
+     * Wait for changes of published items.
+     *
+     * @param call the number of the read
+     * @param after the revision after which changes are wanted
+     * @param waitMilliseconds the longest time to wait for one
+     */
+    record WatchPublication(long call, long after, int waitMilliseconds) implements Decision {}
+
+    /**
+     * Give up a read of published items.
+     *
+     * @param call the number of the read
+     */
+    record CancelPublication(long call) implements Decision {}
+
+    /**
+     * Send a digest to other gateways of a fleet that finds itself by seeds.
+     *
+     * @param addresses the addresses at which the other gateways listen
+     * @param digest the digest
+     */
+    record TellFleet(List<String> addresses, FleetDigest digest) implements Decision {
+
+        /**
+         * Creates a decision whose addresses are copied.
+         */
+        public TellFleet {
+            addresses = List.copyOf(addresses);
+        }
+    }
+
+    /**
+     * Fetch published items from another gateway.
+     *
+     * @param name the name of the other gateway's host
+     * @param address the address at which the other gateway listens
+     * @param after the revision after which they are wanted, zero for all
+     */
+    record PullPublication(String name, String address, long after) implements Decision {}
+
+    /**
+     * Use these backend servers, and no others, from now on.
+     *
+     * @param servers the backend servers
+     */
+    record UseServers(List<BackendServer> servers) implements Decision {
+
+        /**
+         * Creates a decision whose backend servers are copied.
+         */
+        public UseServers {
+            servers = List.copyOf(servers);
+        }
+    }
+
     /**
      * Use a configuration from now on.
      *
@@ -145,9 +213,40 @@
      *
      * @param outcome whether the request may have run
      * @param reason why the gateway gave up
-     * @param retryAfterSeconds when a copy of the request makes sense, zero if it never does
+     * @param retryAfterMilliseconds when a copy of the request makes sense, zero if it never does
+     * @param explanation what the decision rests on, for logs
      */
-    record Refusal(Outcome outcome, Reason reason, int retryAfterSeconds) {}
+    record Refusal(Outcome outcome, Reason reason, long retryAfterMilliseconds, String explanation) {
+
+        /**
+         * Creates a refusal that needs no explanation.
+         *
+         * @param outcome whether the request may have run
+         * @param reason why the gateway gave up
+         * @param retryAfterMilliseconds when a copy of the request makes sense, zero if it never does
+         */
+        public Refusal(Outcome outcome, Reason reason, long retryAfterMilliseconds) {
+            this(outcome, reason, retryAfterMilliseconds, "");
+        }
+    }
+
+    /**
+     * What the choice of a backend server rests on, for logs.
+     *
+     * @param purpose why the request is sent: {@code first}, {@code again} or {@code hedge}
+     * @param candidates the number of backend servers that were weighed
+     * @param inFlight the estimated number of requests at the chosen one, this one included
+     * @param slownessPercent the time that work takes there, a hundred as usual
+     * @param reportAgeMilliseconds the age of its last load report, negative if there is none
+     * @param incarnation the number of the life of the chosen one, zero if it is configured
+     */
+    record Basis(
+            String purpose,
+            int candidates,
+            double inFlight,
+            int slownessPercent,
+            long reportAgeMilliseconds,
+            long incarnation) {}
 
     /**
      * A change that operators see.
@@ -172,6 +271,18 @@
         /** Whether a backend server is ejected. */
         SERVER_EJECTED,
 
+        /** A backend server that announced itself, or whose announcement ended. */
+        SERVER_REGISTERED,
+
+        /** Whether the publisher of the platform answers. */
+        PUBLISHER,
+
+        /** Another gateway. */
+        GATEWAY,
+
+        /** A published item that cannot be read. */
+        PUBLISHED_ITEM,
+
         /** Whether a request is refused because it crashes backend servers. */
         REQUEST_CONVICTED
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -24,7 +24,7 @@
     QUEUE_FULL(503, "too many requests wait for the service"),
 
     /** The request keeps coinciding with crashes of backend servers. */
-    CONVICTED(422, "the request keeps coinciding with crashes of backend servers"),
+    CONVICTED(503, "the request keeps coinciding with crashes of backend servers"),
 
     /** A copy of the request was answered before. */
     ANSWERED_BEFORE(409, "a copy of the request was answered before"),
@@ -53,6 +53,9 @@
     /** The connection to the backend server broke before the answer. */
     CONNECTION_BROKEN(502, "the connection to the backend server broke before the answer");
 
+    /** The status code of answers that promise that nothing ran. */
+    private static final int NOT_RUN_STATUS = 503;
+
     /** The status code of the answer. */
     private final int status;
 
@@ -79,6 +82,20 @@
         return status;
     }
 
+    /**
+     * Returns the reason whose status agrees with an outcome: one that promises that nothing ran only if nothing did,
+     * and one that leaves it open only if it is open.
+     *
+     * @param outcome what is known of the request
+     * @return this reason or its counterpart
+     */
+    public Reason stating(Outcome outcome) {
+        if (outcome == Outcome.UNKNOWN && status == NOT_RUN_STATUS && this != COPY_NOT_KNOWN) {
+            return this == REFUSED || this == NO_CONNECTION ? CONNECTION_BROKEN : DEADLINE_PASSED;
+        }
+        return outcome == Outcome.NOT_RUN && this == DEADLINE_PASSED ? DEADLINE_UNREACHABLE : this;
+    }
+
     /**
      * Returns the text of the answer.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Arrival.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Arrival.java
@@ -13,6 +13,7 @@
  * @param key the idempotency key, empty if the caller gave none
  * @param keyAgeNanoseconds the age of the key, negative if it is not known
  * @param fingerprint a number that copies of the request share
+ * @param host the host name that the request is addressed to, in lower case and without a port
  */
 public record Arrival(
         Method method,
@@ -22,7 +23,15 @@
         boolean replayable,
         String key,
         long keyAgeNanoseconds,
-        long fingerprint) {
+        long fingerprint,
+        String host) {
+
+    /**
+     * Creates an arrival; those of older traces name no host.
+     */
+    public Arrival {
+        host = host == null ? "" : host;
+    }
 
     /**
      * Creates an arrival with a key of unknown age.
@@ -43,7 +52,7 @@
             boolean replayable,
             String key,
             long fingerprint) {
-        this(method, path, remainingNanoseconds, depth, replayable, key, -1, fingerprint);
+        this(method, path, remainingNanoseconds, depth, replayable, key, -1, fingerprint, "");
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
@@ -3,10 +3,13 @@
 import java.util.List;
 import org.chivecourse.configuration.format.ReadConfiguration;
 import org.chivecourse.coordination.health.HealthAnswer;
+import org.chivecourse.coordination.measure.ProbeFinding;
+import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.key.KeyQuestion;
 import org.chivecourse.state.key.KeyReply;
 import org.chivecourse.state.peer.ListedHost;
 import org.chivecourse.state.peer.PeerDigest;
+import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.LoadReport;
 
 /** Something that happened to a host. */
@@ -108,8 +111,10 @@
      * @param sent whether the probe was sent
      * @param report the load that the backend server states, {@code null} if it states none
      * @param nanoseconds the time since the probe was sent, zero if it failed
+     * @param finding what else the probe found
      */
-    record ProbeEnded(String address, boolean sent, LoadReport report, long nanoseconds) implements Event {}
+    record ProbeEnded(String address, boolean sent, LoadReport report, long nanoseconds, ProbeFinding finding)
+            implements Event {}
 
     /**
      * The platform's host list was read.
@@ -148,6 +153,72 @@
      */
     record KeyReplied(KeyReply reply) implements Event {}
 
+    /**
+     * All published items were read.
+     *
+     * @param call the number of the read
+     * @param items the items
+     * @param revision the revision at which the read began
+     */
+    record PublicationListed(long call, List<PublishedItem> items, long revision) implements Event {
+
+        /**
+         * Creates an event whose items are copied.
+         */
+        public PublicationListed {
+            items = List.copyOf(items);
+        }
+    }
+
+    /**
+     * Changes of published items were read.
+     *
+     * @param call the number of the read
+     * @param items the changed items and removals
+     * @param after the revision after which they follow
+     * @param revision the revision up to which they are complete
+     */
+    record PublicationChanged(long call, List<PublishedItem> items, long after, long revision) implements Event {
+
+        /**
+         * Creates an event whose items are copied.
+         */
+        public PublicationChanged {
+            items = List.copyOf(items);
+        }
+    }
+
+    /**
+     * Published items could not be read.
+     *
+     * @param call the number of the read
+     * @param forgotten whether the publisher has forgotten the changes that were asked for
+     * @param reason what happened
+     */
+    record PublicationFailed(long call, boolean forgotten, String reason) implements Event {}
+
+    /**
+     * Published items were fetched from another gateway.
+     *
+     * @param name the name of the other gateway's host
+     * @param changes the items
+     */
+    record PublicationPulled(String name, FleetDigest.Changes changes) implements Event {}
+
+    /**
+     * A digest of another gateway of a fleet that finds itself arrived.
+     *
+     * @param digest the digest
+     */
+    record FleetHeard(FleetDigest digest) implements Event {}
+
+    /**
+     * The process did not run for a while, so that what it knows may be out of date.
+     *
+     * @param nanoseconds the time for which it did not run
+     */
+    record Resumed(long nanoseconds) implements Event {}
+
     /**
      * A configuration could not be fetched from another gateway.
      *
@@ -168,6 +239,20 @@
      * @param refused whether the answer is the refusal signal of its service
      * @param leaving whether the backend server says that it is leaving
      * @param report the load that the backend server states, {@code null} if it states none
+     * @param otherServer whether another backend server than the one that was meant answers at the address
      */
-    record AnswerHead(int status, boolean refused, boolean leaving, LoadReport report) {}
+    record AnswerHead(int status, boolean refused, boolean leaving, LoadReport report, boolean otherServer) {
+
+        /**
+         * Creates the head of an answer by the backend server that was meant.
+         *
+         * @param status the status code
+         * @param refused whether the answer is the refusal signal of its service
+         * @param leaving whether the backend server says that it is leaving
+         * @param report the load that the backend server states, {@code null} if it states none
+         */
+        public AnswerHead(int status, boolean refused, boolean leaving, LoadReport report) {
+            this(status, refused, leaving, report, false);
+        }
+    }
 }
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/SightingOutbox.java
@@ -0,0 +1,132 @@
+package org.chivecourse.coordination.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivecourse.state.fleet.Crash;
+import org.chivecourse.state.fleet.Sighting;
+
+/** What a gateway saw of backend servers and has not told others yet. */
+public final class SightingOutbox {
+
+    /** The largest number of sightings in a digest. */
+    static final int LARGEST_SIGHTINGS = 24;
+
+    /** The largest number of crashes in a digest. */
+    private static final int LARGEST_CRASHES = 8;
+
+    /** The sightings for the same data centre, the newest of each kind for each backend server. */
+    private final Map<String, Sighting> near = new LinkedHashMap<>();
+
+    /** The sightings for other data centres. */
+    private final Map<String, Sighting> far = new LinkedHashMap<>();
+
+    /** The crashes. */
+    private final List<Crash> crashes = new ArrayList<>();
+
+    /**
+     * Adds a sighting.
+     *
+     * @param sighting the sighting
+     */
+    public void add(Sighting sighting) {
+        put(near, sighting);
+        put(far, sighting);
+    }
+
+    /**
+     * Adds a sighting of another gateway of the same data centre, which is told to others.
+     *
+     * @param sighting the sighting
+     */
+    void addForFar(Sighting sighting) {
+        put(far, sighting);
+    }
+
+    /**
+     * Adds a sighting of a gateway of another data centre, which is told to the gateways of this one.
+     *
+     * @param sighting the sighting
+     */
+    void addForNear(Sighting sighting) {
+        put(near, sighting);
+    }
+
+    /**
+     * Puts a sighting in place of an older one of its kind.
+     *
+     * @param box the sightings by key
+     * @param sighting the sighting
+     */
+    private static void put(Map<String, Sighting> box, Sighting sighting) {
+        String key = sighting.server() + sighting.kind().ordinal();
+        Sighting known = box.get(key);
+        if (known == null || sighting.seenAt() - known.seenAt() > 0) {
+            box.put(key, sighting);
+        }
+    }
+
+    /**
+     * Forgets the sightings for other data centres, which another gateway tells.
+     */
+    void forgetFar() {
+        far.clear();
+    }
+
+    /**
+     * Adds a crash.
+     *
+     * @param crash the crash
+     */
+    public void add(Crash crash) {
+        if (crashes.size() < LARGEST_CRASHES) {
+            crashes.add(crash);
+        }
+    }
+
+    /**
+     * Takes the sightings for the same data centre.
+     *
+     * @return the sightings, the oldest first
+     */
+    List<Sighting> pollNear() {
+        return poll(near);
+    }
+
+    /**
+     * Takes the sightings for other data centres.
+     *
+     * @return the sightings, the oldest first
+     */
+    List<Sighting> pollFar() {
+        return poll(far);
+    }
+
+    /**
+     * Takes sightings.
+     *
+     * @param box the sightings by key
+     * @return the sightings, the oldest first
+     */
+    private static List<Sighting> poll(Map<String, Sighting> box) {
+        List<Sighting> taken = new ArrayList<>();
+        var iterator = box.values().iterator();
+        while (iterator.hasNext() && taken.size() < LARGEST_SIGHTINGS) {
+            taken.add(iterator.next());
+            iterator.remove();
+        }
+        return taken;
+    }
+
+    /**
+     * Takes the crashes.
+     *
+     * @return the crashes
+     */
+    List<Crash> pollCrashes() {
+        List<Crash> taken = List.copyOf(crashes);
+        crashes.clear();
+        return taken;
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -1,6 +1,7 @@
 package org.chivecourse.coordination.host;
 
 import java.util.random.RandomGenerator;
+import org.chivecourse.configuration.format.ReadConfiguration;
 import org.chivecourse.configuration.rule.Finding;
 import org.chivecourse.coordination.call.CallCoordinator;
 import org.chivecourse.coordination.call.ServiceRegister;
@@ -8,10 +9,15 @@
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.fleet.FleetExchange;
+import org.chivecourse.coordination.measure.AssignedProbes;
 import org.chivecourse.coordination.membership.Membership;
 import org.chivecourse.coordination.membership.PeerExchange;
 import org.chivecourse.coordination.ownership.KeyOwnership;
 import org.chivecourse.coordination.poison.PoisonRegister;
+import org.chivecourse.coordination.publication.Publication;
+import org.chivecourse.coordination.publication.PublicationDecoder;
+import org.chivecourse.coordination.publication.PublishedState;
 
 /**
  * The entry to a host's decisions.
@@ -24,6 +30,9 @@
     /** The longest time between two {@link Event.TimePassed} events, in nanoseconds. */
     public static final long TICK_NANOSECONDS = 5_000_000;
 
+    /** What the core knows of its host. */
+    private final HostSettings settings;
+
     /** The configuration in force. */
     private final ConfigurationRegister configurations = new ConfigurationRegister();
 
@@ -33,15 +42,21 @@
     /** The calls. */
     private final CallCoordinator calls;
 
-    /** The other gateways. */
+    /** The other gateways that the platform lists. */
     private final Membership membership;
 
     /** The rule that the request of a key runs at most once over all hosts. */
     private final KeyOwnership ownership;
 
-    /** The exchange with the other gateways. */
+    /** The exchange with the other gateways that the platform lists. */
     private final PeerExchange exchange;
 
+    /** What is published. */
+    private final PublishedState published;
+
+    /** The exchange with a fleet that finds itself. */
+    private final FleetExchange fleet;
+
     /** Whether the gateway has begun to serve. */
     private boolean serving;
 
@@ -49,18 +64,34 @@
     private final ServerWatch serverWatch;
 
     /**
-     * Creates a core without a configuration.
+     * Creates a core without a configuration, on a platform that publishes no items.
      *
      * @param settings what the core knows of its host
      * @param random the source of randomness
      */
     public HostCore(HostSettings settings, RandomGenerator random) {
-        services = new ServiceRegister(settings.expectedHosts());
+        this(settings, random, PublicationDecoder.Disabled.INSTANCE);
+    }
+
+    /**
+     * Creates a core without a configuration.
+     *
+     * @param settings what the core knows of its host
+     * @param random the source of randomness
+     * @param decoder decodes published items
+     */
+    public HostCore(HostSettings settings, RandomGenerator random, PublicationDecoder decoder) {
+        this.settings = settings;
+        published = new PublishedState(decoder, new PublicationReceiver());
+        services = new ServiceRegister(settings, published.registry(), random);
         membership = new Membership(settings, random);
         ownership = new KeyOwnership(settings, membership);
         calls = new CallCoordinator(settings, services, ownership, random);
-        serverWatch = new ServerWatch(services);
         exchange = new PeerExchange(settings, membership, configurations, services, calls.poison());
+        fleet = new FleetExchange(settings, published, services, calls.poison());
+        AssignedProbes probes =
+                settings.fleet().enabled() ? new AssignedProbes(settings, services, fleet.neighbours()) : null;
+        serverWatch = new ServerWatch(services, probes);
     }
 
     /**
@@ -75,24 +106,66 @@
         if (event instanceof Event.CallArrived arrived) {
             calls.arrive(arrived, serves(now), now, sink);
         } else if (event instanceof Event.AttemptReady ready) {
-            calls.ready(ready.attempt(), now, sink);
+            calls.attempts().ready(ready.attempt(), now, sink);
         } else if (event instanceof Event.AnswerStarted started) {
-            calls.answerStarted(started, now, sink);
+            calls.attempts().answerStarted(started, now, sink);
         } else if (event instanceof Event.AnswerCompleted completed) {
-            calls.answerCompleted(completed.attempt(), now, sink);
+            calls.attempts().answerCompleted(completed.attempt(), now, sink);
         } else if (event instanceof Event.AttemptUnsent unsent) {
-            calls.unsent(unsent, now, sink);
+            calls.attempts().unsent(unsent, now, sink);
         } else if (event instanceof Event.AttemptBroken broken) {
-            calls.broken(broken, now, sink);
+            calls.attempts().broken(broken, now, sink);
         } else if (event instanceof Event.CallerLeft left) {
             calls.callerLeft(left.call(), now, sink);
         } else if (event instanceof Event.TimePassed) {
-            calls.timePassed(now, sink);
-            serverWatch.timePassed(now, sink);
+            timePassed(now, sink);
+        } else if (!handlePublication(event, now, sink)) {
+            handleKnowledge(event, now, sink);
+        }
+    }
+
+    /**
+     * Starts and ends what is due.
+     *
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    private void timePassed(long now, DecisionSink sink) {
+        calls.timePassed(now, sink);
+        serverWatch.timePassed(now, sink);
+        if (settings.fleet().enabled()) {
+            fleet.timePassed(now, sink);
+            services.hosts(fleet.neighbours().size());
+        } else {
             exchange.timePassed(now, sink);
+        }
+    }
+
+    /**
+     * Handles an event that concerns published items or a fleet that finds itself.
+     *
+     * @param event the event
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     * @return {@code false} if the event concerns something else
+     */
+    private boolean handlePublication(Event event, long now, DecisionSink sink) {
+        if (event instanceof Event.FleetHeard heard) {
+            fleet.heard(heard.digest(), now, sink);
+        } else if (event instanceof Event.PublicationChanged changed) {
+            fleet.changed(changed, now, sink);
+        } else if (event instanceof Event.PublicationListed listed) {
+            fleet.listed(listed, now, sink);
+        } else if (event instanceof Event.PublicationPulled pulled) {
+            fleet.pulled(pulled, now, sink);
+        } else if (event instanceof Event.PublicationFailed failed) {
+            fleet.readFailed(failed, now);
+        } else if (event instanceof Event.Resumed) {
+            fleet.timePassed(now, sink);
         } else {
-            handleKnowledge(event, now, sink);
+            return false;
         }
+        return true;
     }
 
     /**
@@ -104,7 +177,8 @@
      */
     private void handleKnowledge(Event event, long now, DecisionSink sink) {
         if (event instanceof Event.ConfigurationRead read) {
-            configurationRead(read, now, sink);
+            exchange.pullEnded();
+            putInForce(read.configuration(), read.source(), now, sink);
         } else if (event instanceof Event.ConfigurationRejected rejected) {
             configurationRejected(rejected, sink);
         } else if (event instanceof Event.HealthChecked checked) {
@@ -113,7 +187,7 @@
         } else if (event instanceof Event.ProbeReady ready) {
             serverWatch.probeReady(ready.address(), now, sink);
         } else if (event instanceof Event.ProbeEnded ended) {
-            serverWatch.probeEnded(ended, now);
+            serverWatch.probeEnded(ended, now, sink);
         } else if (event instanceof Event.HostsRead read) {
             membership.list(read.hosts(), now);
         } else if (event instanceof Event.DigestArrived arrived) {
@@ -124,36 +198,39 @@
             calls.keyed().replied(replied, now, sink);
         } else if (event instanceof Event.PullFailed) {
             exchange.pullEnded();
+            fleet.pullEnded();
         } else if (event instanceof Event.StopAsked) {
             exchange.stopping();
+            fleet.stopping(now, sink);
         }
     }
 
     /**
      * Puts a configuration in force if it is higher than the one that is.
      *
-     * @param event the configuration and its source
+     * @param configuration the configuration
+     * @param source where it comes from
      * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
-    private void configurationRead(Event.ConfigurationRead event, long now, DecisionSink sink) {
-        exchange.pullEnded();
+    private void putInForce(ReadConfiguration configuration, String source, long now, DecisionSink sink) {
         long before = configurations.revision();
         String conflictBefore = configurations.conflict();
-        boolean applied = configurations.offer(event.configuration());
+        boolean applied = configurations.offer(configuration);
         if (!configurations.conflict().equals(conflictBefore)) {
-            sink.decide(change("conflict", "", configurations.conflict(), event.source()));
+            sink.decide(change("conflict", "", configurations.conflict(), source));
         }
         if (!applied) {
             return;
         }
         long revision = configurations.revision();
-        sink.decide(change("in force", Long.toString(before), Long.toString(revision), event.source()));
-        for (Finding danger : event.configuration().dangers()) {
-            sink.decide(change("danger", "", danger.problem(), event.source()));
+        sink.decide(change("in force", Long.toString(before), Long.toString(revision), source));
+        for (Finding danger : configuration.dangers()) {
+            sink.decide(change("danger", "", danger.problem(), source));
         }
-        services.apply(event.configuration().printed().configuration(), now);
-        sink.decide(new Decision.Apply(event.configuration().printed()));
+        services.apply(configuration.printed().configuration(), now);
+        sink.decide(new Decision.Apply(configuration.printed()));
+        sink.decide(new Decision.UseServers(services.backendServers()));
         calls.capacityChanged(now, sink);
     }
 
@@ -213,7 +290,7 @@
     }
 
     /**
-     * Returns the other gateways.
+     * Returns the other gateways that the platform lists.
      *
      * @return the membership
      */
@@ -221,6 +298,24 @@
         return membership;
     }
 
+    /**
+     * Returns the exchange with a fleet that finds itself.
+     *
+     * @return the exchange
+     */
+    public FleetExchange fleet() {
+        return fleet;
+    }
+
+    /**
+     * Returns what is published.
+     *
+     * @return the state
+     */
+    public PublishedState published() {
+        return published;
+    }
+
     /**
      * Returns whether callers may be sent to this gateway.
      *
@@ -228,10 +323,12 @@
      * @return {@code true} if a configuration is in force that no peer has been heard to be ahead of at the start
      */
     public boolean serves(long now) {
-        serving = serving
-                || configurations.revision() > 0
-                        && membership.joined(now)
-                        && !membership.behind(configurations.revision(), configurations.digest(), now);
+        if (serving || configurations.revision() == 0) {
+            return serving;
+        }
+        serving = settings.fleet().enabled()
+                ? published.registry().size() > 0 && !fleet.behind(now)
+                : membership.joined(now) && !membership.behind(configurations.revision(), configurations.digest(), now);
         return serving;
     }
 
@@ -252,4 +349,21 @@
     public int openCalls() {
         return calls.open();
     }
+
+    /** Puts published configurations and backend servers in force. */
+    private final class PublicationReceiver implements PublishedState.Receiver {
+
+        @Override
+        public void configurationPublished(
+                Publication.ForConfiguration configuration, String source, long now, DecisionSink sink) {
+            putInForce(configuration.configuration(), source, now, sink);
+        }
+
+        @Override
+        public void serversChanged(long now, DecisionSink sink) {
+            services.takeServers(now);
+            sink.decide(new Decision.UseServers(services.backendServers()));
+            calls.capacityChanged(now, sink);
+        }
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostSettings.java
@@ -13,6 +13,7 @@
  * @param keys the bounds on idempotency keys
  * @param policy the way to choose a backend server
  * @param largestCalls the number of calls that the host holds at the same time
+ * @param fleet the fleet that finds itself by seeds, if there is one
  */
 public record HostSettings(
         String name,
@@ -22,13 +23,39 @@
         long incarnation,
         KeyLimits keys,
         ChoicePolicy policy,
-        int largestCalls) {
+        int largestCalls,
+        FleetSettings fleet) {
 
     /**
-     * Creates settings; those of older traces lack the bounds on keys and get the default.
+     * Creates settings; those of older traces lack the bounds on keys and the fleet and get the defaults.
      */
     public HostSettings {
         keys = keys == null ? KeyLimits.DEFAULT : keys;
+        fleet = fleet == null ? FleetSettings.NONE : fleet;
+    }
+
+    /**
+     * Creates settings of a gateway whose fleet is listed by the platform.
+     *
+     * @param name the name of the host
+     * @param dataCentre the name of the data centre that the host stands in
+     * @param expectedHosts the largest number of hosts that may run gateways at the same time
+     * @param exchanges whether the gateway exchanges digests with others
+     * @param incarnation the number of the gateway's life, higher for a later one
+     * @param keys the bounds on idempotency keys
+     * @param policy the way to choose a backend server
+     * @param largestCalls the number of calls that the host holds at the same time
+     */
+    public HostSettings(
+            String name,
+            String dataCentre,
+            int expectedHosts,
+            boolean exchanges,
+            long incarnation,
+            KeyLimits keys,
+            ChoicePolicy policy,
+            int largestCalls) {
+        this(name, dataCentre, expectedHosts, exchanges, incarnation, keys, policy, largestCalls, FleetSettings.NONE);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerWatch.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerWatch.java
@@ -6,6 +6,8 @@
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.health.HealthWatch;
+import org.chivecourse.coordination.measure.AssignedProbes;
+import org.chivecourse.coordination.measure.ProbeFinding;
 import org.chivecourse.coordination.measure.ProbeTarget;
 import org.chivecourse.state.server.LeavingCause;
 import org.chivecourse.state.server.ServerState;
@@ -19,19 +21,27 @@
      */
     private static final long LOOK_NANOSECONDS = 100_000_000L;
 
+    /** The path of the endpoint that configured backend servers state their load at. */
+    private static final String LOAD_PATH = "/load";
+
     /** The services of the configuration in force. */
     private final ServiceRegister services;
 
     /** The watch of health endpoints. */
     private final HealthWatch health = new HealthWatch();
 
+    /** The probes of a fleet that finds itself, {@code null} if there is none. */
+    private final AssignedProbes assigned;
+
     /**
      * Creates a watch.
      *
      * @param services the services of the configuration in force
+     * @param assigned the probes of a fleet that finds itself, {@code null} if there is none
      */
-    ServerWatch(ServiceRegister services) {
+    ServerWatch(ServiceRegister services, AssignedProbes assigned) {
         this.services = services;
+        this.assigned = assigned;
     }
 
     /**
@@ -41,6 +51,10 @@
      * @param sink receives the decisions that follow
      */
     void timePassed(long now, DecisionSink sink) {
+        if (assigned != null) {
+            assigned.timePassed(now, sink);
+            return;
+        }
         boolean looks = Math.floorMod(now, LOOK_NANOSECONDS) < HostCore.TICK_NANOSECONDS;
         for (ServiceState service : services.all()) {
             if (looks) {
@@ -78,7 +92,7 @@
         }
         ServerState target = ProbeTarget.choose(service.servers(), now);
         if (target != null) {
-            sink.decide(new Decision.Probe(target.address()));
+            sink.decide(new Decision.Probe(target.address(), LOAD_PATH));
         }
     }
 
@@ -91,6 +105,10 @@
      */
     void probeReady(String address, long now, DecisionSink sink) {
         ServiceState service = services.serviceOf(address);
+        if (service != null && assigned != null) {
+            sink.decide(new Decision.SendProbe(address));
+            return;
+        }
         if (service != null && service.probes().spend(service.service().measuring(), service.slots(), now)) {
             sink.decide(new Decision.SendProbe(address));
         }
@@ -102,11 +120,18 @@
      * @param ended the probe
      * @param now the time in nanoseconds
      */
-    void probeEnded(Event.ProbeEnded ended, long now) {
+    void probeEnded(Event.ProbeEnded ended, long now, DecisionSink sink) {
         ServiceState service = services.serviceOf(ended.address());
+        if (assigned != null) {
+            assigned.ended(ended.address());
+        }
         if (service == null) {
             return;
         }
+        if (assigned != null) {
+            learn(ended, now, sink);
+            return;
+        }
         if (ended.sent()) {
             service.probes().end(now, ended.nanoseconds());
         }
@@ -115,6 +140,28 @@
         }
     }
 
+    /**
+     * Takes over what a probe of a backend server that announced itself found.
+     *
+     * @param ended the probe
+     * @param now the time in nanoseconds
+     * @param sink receives the changes
+     */
+    private void learn(Event.ProbeEnded ended, long now, DecisionSink sink) {
+        ServerState server = services.server(ended.address());
+        long revision = services.configuration().revision();
+        switch (ended.finding()) {
+            case OTHER_SERVER -> services.leave(ended.address(), LeavingCause.REPLACED, revision, sink);
+            case UNREACHABLE -> services.noteUnreachable(server, now);
+            case UNWELL -> services.noteHealth(server, false, now);
+            default -> services.noteHealth(server, true, now);
+        }
+        if (ended.report() != null && ended.finding() != ProbeFinding.OTHER_SERVER) {
+            services.noteLoad(server, ended.report(), now);
+            server.condition().reachable();
+        }
+    }
+
     /**
      * Takes the answer of a look at a health endpoint.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRegister.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRegister.java
@@ -127,6 +127,17 @@
         return suspicion != null && suspicion.convictedUntil == 0 && now - suspicion.lastAt < SUSPICION_NANOSECONDS;
     }
 
+    /**
+     * Returns the number of backend servers with whose failures the runs of a request coincided.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @return the number
+     */
+    public int serversFailed(long fingerprint) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        return suspicion == null ? 0 : suspicion.servers.size();
+    }
+
     /**
      * Returns whether a backend server failed with a request in flight.
      *
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/OutageWatch.java
@@ -0,0 +1,47 @@
+package org.chivecourse.coordination.publication;
+
+import org.chivecourse.coordination.registry.Registry;
+
+/** Tells an outage of the publisher for the whole fleet from one that concerns few gateways. */
+public final class OutageWatch {
+
+    /** The time without any answer of the publisher from which on announcements may have expired, in nanoseconds. */
+    private static final long OUTAGE_NANOSECONDS = 1_000_000_000L;
+
+    /** The time of the last sign that the publisher answers some gateway, in nanoseconds. */
+    private long answeredAt;
+
+    /** The end of the last outage, in nanoseconds. */
+    private long endedAt;
+
+    /** Whether there was a sign that the publisher answers. */
+    private boolean known;
+
+    /** Whether there was an outage. */
+    private boolean ended;
+
+    /**
+     * Notes that the publisher answers some gateway of the fleet.
+     *
+     * @param now the time in nanoseconds
+     */
+    public void answered(long now) {
+        if (known && now - answeredAt > OUTAGE_NANOSECONDS) {
+            endedAt = now;
+            ended = true;
+        }
+        known = true;
+        answeredAt = now;
+    }
+
+    /**
+     * Returns until when a backend server is kept whose announcement ends now.
+     *
+     * @param now the time in nanoseconds
+     * @return the present time, or a later one shortly after an outage
+     */
+    public long keepUntil(long now) {
+        boolean recent = ended && now - endedAt < Registry.RETURN_NANOSECONDS;
+        return recent ? endedAt + Registry.RETURN_NANOSECONDS : now;
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/Publication.java
@@ -0,0 +1,35 @@
+package org.chivecourse.coordination.publication;
+
+import org.chivecourse.configuration.format.ReadConfiguration;
+import org.chivecourse.state.server.RegisteredServer;
+
+/** The meaning of a published item. */
+public sealed interface Publication {
+
+    /**
+     * The announcement of a backend server.
+     *
+     * @param server the backend server
+     */
+    record ForServer(RegisteredServer server) implements Publication {}
+
+    /**
+     * A configuration.
+     *
+     * @param configuration the configuration
+     */
+    record ForConfiguration(ReadConfiguration configuration) implements Publication {}
+
+    /**
+     * An item that cannot be read.
+     *
+     * @param reason what is wrong
+     */
+    record Unreadable(String reason) implements Publication {}
+
+    /** An item that does not concern gateways. */
+    enum Foreign implements Publication {
+        /** The only instance. */
+        INSTANCE
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
@@ -0,0 +1,254 @@
+package org.chivecourse.coordination.publication;
+
+import java.util.List;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.registry.Registry;
+import org.chivecourse.state.fleet.FleetDigest;
+import org.chivecourse.state.publication.PublicationTable;
+import org.chivecourse.state.publication.PublishedItem;
+import org.chivecourse.state.server.RegisteredServer;
+
+/** What is published, decoded into the registry of backend servers and the configuration. */
+public final class PublishedState {
+
+    /** The published items. */
+    private final PublicationTable table = new PublicationTable();
+
+    /** Decodes items. */
+    private final PublicationDecoder decoder;
+
+    /** The backend servers that announce themselves. */
+    private final Registry registry = new Registry();
+
+    /** Tells outages of the publisher. */
+    private final OutageWatch outages = new OutageWatch();
+
+    /** Receives published configurations. */
+    private final Receiver receiver;
+
+    /**
+     * Creates a state in which nothing is published.
+     *
+     * @param decoder decodes items
+     * @param receiver receives published configurations and hears of changed backend servers
+     */
+    public PublishedState(PublicationDecoder decoder, Receiver receiver) {
+        this.decoder = decoder;
+        this.receiver = receiver;
+    }
+
+    /**
+     * Takes all items that were published at a revision.
+     *
+     * @param items the items
+     * @param revision the revision
+     * @param source where they come from
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    public void replace(List<PublishedItem> items, long revision, String source, long now, DecisionSink sink) {
+        apply(table.replace(items, revision), source, now, sink);
+    }
+
+    /**
+     * Takes changes of published items.
+     *
+     * @param changes the changes
+     * @param source where they come from
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     * @return {@code false} if changes before them are missing
+     */
+    public boolean change(FleetDigest.Changes changes, String source, long now, DecisionSink sink) {
+        if (changes.after() == 0) {
+            replace(changes.items(), changes.revision(), source, now, sink);
+            return true;
+        }
+        List<PublishedItem> changed = table.change(changes.items(), changes.after(), changes.revision());
+        if (changed == null) {
+            return false;
+        }
+        apply(changed, source, now, sink);
+        return true;
+    }
+
+    /**
+     * Applies changed items.
+     *
+     * @param changed the items and removals
+     * @param source where they come from
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    private void apply(List<PublishedItem> changed, String source, long now, DecisionSink sink) {
+        boolean servers = false;
+        for (PublishedItem item : changed) {
+            servers |= apply(item, source, now, sink);
+        }
+        if (servers) {
+            receiver.serversChanged(now, sink);
+        }
+    }
+
+    /**
+     * Applies a changed item.
+     *
+     * @param item the item or removal
+     * @param source where it comes from
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     * @return whether the backend servers changed
+     */
+    private boolean apply(PublishedItem item, String source, long now, DecisionSink sink) {
+        if (item.removed()) {
+            return withdraw(item, source, now, sink);
+        }
+        Publication publication = decoder.decode(item);
+        if (publication instanceof Publication.ForServer server) {
+            return announce(item, server.server(), source, sink);
+        }
+        if (publication instanceof Publication.ForConfiguration configuration) {
+            receiver.configurationPublished(configuration, source, now, sink);
+            return false;
+        }
+        if (publication instanceof Publication.Unreadable unreadable) {
+            sink.decide(change(
+                    Decision.Subject.PUBLISHED_ITEM, item.key(), "unreadable", unreadable.reason(), item.revision()));
+            return registry.withdraw(item.key(), now, now);
+        }
+        return false;
+    }
+
+    /**
+     * Applies the announcement of a backend server.
+     *
+     * @param item the item
+     * @param server the backend server
+     * @param source where it comes from
+     * @param sink receives the decisions that follow
+     * @return whether the backend servers changed
+     */
+    private boolean announce(PublishedItem item, RegisteredServer server, String source, DecisionSink sink) {
+        if (!registry.announce(item.key(), server)) {
+            return false;
+        }
+        String state = (server.leaving() ? "leaving" : "ready") + " " + server.service() + " " + server.address()
+                + " incarnation " + server.incarnation();
+        sink.decide(change(Decision.Subject.SERVER_REGISTERED, server.identity(), state, source, item.revision()));
+        return true;
+    }
+
+    /**
+     * Applies the end of an announcement.
+     *
+     * @param item the removal
+     * @param source where it comes from
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     * @return whether the backend servers changed
+     */
+    private boolean withdraw(PublishedItem item, String source, long now, DecisionSink sink) {
+        long keepUntil = outages.keepUntil(now);
+        boolean changed = registry.withdraw(item.key(), keepUntil, now);
+        boolean kept = keepUntil - now > 0;
+        sink.decide(change(
+                Decision.Subject.SERVER_REGISTERED,
+                item.key(),
+                kept ? "kept after an outage" : "gone",
+                source,
+                item.revision()));
+        return changed;
+    }
+
+    /**
+     * Creates the audit record of a change.
+     *
+     * @param subject what changed
+     * @param name the name of the thing that changed
+     * @param to the value now
+     * @param cause why it changed
+     * @param revision the revision of the item
+     * @return the decision
+     */
+    private static Decision change(Decision.Subject subject, String name, String to, String cause, long revision) {
+        return new Decision.Audit(new Decision.Change(subject, name, "", to, cause, revision));
+    }
+
+    /**
+     * Takes out backend servers that were kept after an outage and have not returned.
+     *
+     * @param now the time in nanoseconds
+     * @param sink receives the decisions that follow
+     */
+    public void timePassed(long now, DecisionSink sink) {
+        if (registry.expire(now)) {
+            sink.decide(change(
+                    Decision.Subject.SERVER_REGISTERED, "", "gone", "did not return after an outage", revision()));
+            receiver.serversChanged(now, sink);
+        }
+    }
+
+    /**
+     * Returns the changes after a revision for another gateway.
+     *
+     * @param after the revision
+     * @return the changes, or all items if the changes are not known any more
+     */
+    public FleetDigest.Changes changesAfter(long after) {
+        List<PublishedItem> changes = after > table.revision() ? null : table.changesAfter(after);
+        return changes == null
+                ? new FleetDigest.Changes(0, table.revision(), table.published())
+                : new FleetDigest.Changes(after, table.revision(), changes);
+    }
+
+    /**
+     * Returns the revision up to which every item is known.
+     *
+     * @return the revision, zero if nothing is known
+     */
+    public long revision() {
+        return table.revision();
+    }
+
+    /**
+     * Returns the backend servers that announce themselves.
+     *
+     * @return the registry
+     */
+    public Registry registry() {
+        return registry;
+    }
+
+    /**
+     * Returns what tells outages of the publisher.
+     *
+     * @return the watch
+     */
+    public OutageWatch outages() {
+        return outages;
+    }
+
+    /** Receives what is published. */
+    public interface Receiver {
+
+        /**
+         * Receives a configuration.
+         *
+         * @param configuration the configuration
+         * @param source where it comes from
+         * @param now the time in nanoseconds
+         * @param sink receives the decisions that follow
+         */
+        void configurationPublished(
+                Publication.ForConfiguration configuration, String source, long now, DecisionSink sink);
+
+        /**
+         * Hears that the backend servers changed.
+         *
+         * @param now the time in nanoseconds
+         * @param sink receives the decisions that follow
+         */
+        void serversChanged(long now, DecisionSink sink);
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/package-info.java
@@ -0,0 +1,2 @@
+/** The reading of what the platform publishes, directly or by way of other gateways. */
+package org.chivecourse.coordination.publication;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/registry/package-info.java
@@ -0,0 +1,2 @@
+/** The backend servers that announce themselves. */
+package org.chivecourse.coordination.registry;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/retry/RetryBudget.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/retry/RetryBudget.java
@@ -1,7 +1,7 @@
 package org.chivecourse.coordination.retry;
 
 /** A bound on repeated requests as a share of first ones. */
-public final class RetryBudget {
+public final class RetryBudget implements RepeatBudget {
 
     /** The number of repeated requests that may be saved up. */
     private static final double LARGEST_BALANCE = 20;
@@ -31,19 +31,18 @@
         balance = Math.min(balance, percent == 0 ? 0 : LARGEST_BALANCE);
     }
 
-    /**
-     * Records a first request.
-     */
-    public void earn() {
+    @Override
+    public void arrived(long now) {
         balance = Math.min(LARGEST_BALANCE, balance + share);
     }
 
-    /**
-     * Takes one repeated request from the budget.
-     *
-     * @return {@code true} if the budget allowed it
-     */
-    public boolean spend() {
+    @Override
+    public void refund(long now) {
+        balance = Math.min(LARGEST_BALANCE, balance + 1);
+    }
+
+    @Override
+    public boolean spend(long now) {
         if (balance < 1) {
             return false;
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/retry/RetryRule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/retry/RetryRule.java
@@ -19,17 +19,18 @@
      * @param now the time in nanoseconds
      * @return {@code true} if another attempt may start
      */
-    public boolean allows(CallState call, RetryBudget budget, long now) {
+    public boolean allows(CallState call, RepeatBudget budget, long now) {
         if (call.terms().deadline() - now <= 0) {
             return false;
         }
         if (onlyUnsent(call)) {
             return call.attempts().size() < LARGEST_UNSENT;
         }
-        if (!call.terms().idempotent() || !call.terms().replayable()) {
+        boolean harmless = call.terms().idempotent() || call.provablyNotRun();
+        if (!harmless || !call.terms().replayable()) {
             return false;
         }
-        return call.attemptsSent() < call.terms().attempts() && budget.spend();
+        return call.attemptsSent() < call.terms().attempts() && budget.spend(now);
     }
 
     /**
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/route/package-info.java
@@ -0,0 +1,2 @@
+/** The rules that say which service takes a request. */
+package org.chivecourse.coordination.route;
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/ProblemDocument.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/ProblemDocument.java
@@ -31,8 +31,8 @@
         node.put("status", refusal.reason().status());
         node.put("outcome", MappingReader.nameOf(refusal.outcome()));
         node.put("reason", MappingReader.nameOf(refusal.reason()));
-        if (refusal.retryAfterSeconds() > 0) {
-            node.put("retry-after-seconds", refusal.retryAfterSeconds());
+        if (refusal.retryAfterMilliseconds() > 0) {
+            node.put("retry-after-milliseconds", refusal.retryAfterMilliseconds());
         }
         try {
             return MAPPER.writeValueAsBytes(node);
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -0,0 +1,247 @@
+package org.chivecourse.protocol.peer;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivecourse.protocol.peer.generated.ConvictionMessage;
+import org.chivecourse.protocol.peer.generated.CrashMessage;
+import org.chivecourse.protocol.peer.generated.FleetDigestMessage;
+import org.chivecourse.protocol.peer.generated.MemberMessage;
+import org.chivecourse.protocol.peer.generated.PublicationReply;
+import org.chivecourse.protocol.peer.generated.PublishedItemMessage;
+import org.chivecourse.protocol.peer.generated.SightingMessage;
+import org.chivecourse.state.fleet.Crash;
+import org.chivecourse.state.fleet.FleetDigest;
+import org.chivecourse.state.fleet.Member;
+import org.chivecourse.state.fleet.Sighting;
+import org.chivecourse.state.fleet.SightingKind;
+import org.chivecourse.state.publication.PublishedItem;
+import org.chivecourse.state.server.LoadReport;
+
+/** Prints and reads what gateways of a fleet that finds itself tell each other. */
+public final class FleetCodec {
+
+    /** The number of nanoseconds in a millisecond. */
+    private static final long MILLISECOND = 1_000_000L;
+
+    /** The largest age of a sighting, in milliseconds. */
+    private static final int LARGEST_AGE_MILLISECONDS = 60_000;
+
+    /** The longest name, address or key, in characters. */
+    private static final int LONGEST_TEXT = 255;
+
+    /** Not to be constructed. */
+    private FleetCodec() {}
+
+    /**
+     * Prints a digest.
+     *
+     * @param digest the digest
+     * @param now the time in nanoseconds
+     * @return the message
+     */
+    static FleetDigestMessage print(FleetDigest digest, long now) {
+        FleetDigestMessage.Builder message = FleetDigestMessage.newBuilder()
+                .setName(digest.sender().name())
+                .setAddress(digest.sender().address())
+                .setDataCentre(digest.sender().dataCentre())
+                .setIncarnation(digest.incarnation())
+                .setSequence(digest.sequence())
+                .setStopping(digest.stopping())
+                .setAsks(digest.asks())
+                .setRevision(digest.standing().revision())
+                .setPublisherReached(digest.standing().reached())
+                .setWatching(digest.standing().watching())
+                .setFleetSize(digest.fleetSize());
+        for (Member member : digest.members()) {
+            message.addMembers(MemberMessage.newBuilder()
+                    .setName(member.name())
+                    .setAddress(member.address())
+                    .setDataCentre(member.dataCentre()));
+        }
+        for (Sighting sighting : digest.sightings()) {
+            message.addSightings(print(sighting, now));
+        }
+        for (Crash crash : digest.crashes()) {
+            message.addCrashes(CrashMessage.newBuilder()
+                    .setFingerprint(crash.fingerprint())
+                    .setServer(crash.server()));
+        }
+        digest.convictions()
+                .forEach((fingerprint, seconds) -> message.addConvictions(ConvictionMessage.newBuilder()
+                        .setFingerprint(fingerprint)
+                        .setSeconds(seconds)));
+        if (digest.changes() != null) {
+            message.setChanges(print(digest.changes()));
+        }
+        return message.build();
+    }
+
+    /**
+     * Prints a sighting.
+     *
+     * @param sighting the sighting
+     * @param now the time in nanoseconds
+     * @return the message
+     */
+    private static SightingMessage.Builder print(Sighting sighting, long now) {
+        SightingMessage.Builder message = SightingMessage.newBuilder()
+                .setServer(sighting.server())
+                .setKind(sighting.kind().ordinal())
+                .setAgeMilliseconds((int) Math.max(0, (now - sighting.seenAt()) / MILLISECOND));
+        if (sighting.report() != null) {
+            message.setInFlight(sighting.report().inFlight())
+                    .setSlots(sighting.report().slots())
+                    .setSlownessPercent(sighting.report().slownessPercent());
+        }
+        return message;
+    }
+
+    /**
+     * Prints published items.
+     *
+     * @param changes the items
+     * @return the message
+     */
+    public static PublicationReply print(FleetDigest.Changes changes) {
+        PublicationReply.Builder message =
+                PublicationReply.newBuilder().setAfter(changes.after()).setRevision(changes.revision());
+        for (PublishedItem item : changes.items()) {
+            PublishedItemMessage.Builder printed = PublishedItemMessage.newBuilder()
+                    .setKey(item.key())
+                    .setRevision(item.revision())
+                    .setRemoved(item.removed());
+            if (!item.removed()) {
+                printed.setValue(ByteString.copyFrom(item.value()));
+            }
+            message.addItems(printed);
+        }
+        return message.build();
+    }
+
+    /**
+     * Reads a digest.
+     *
+     * @param message the message
+     * @param now the time in nanoseconds
+     * @return the digest
+     * @throws PeerMessageException if a value is impossible
+     */
+    static FleetDigest read(FleetDigestMessage message, long now) throws PeerMessageException {
+        Member sender = member(message.getName(), message.getAddress(), message.getDataCentre());
+        if (message.getRevision() < 0) {
+            throw new PeerMessageException(
+                    "digest of host \"" + message.getName() + "\" has revision " + message.getRevision());
+        }
+        List<Member> members = new ArrayList<>();
+        for (MemberMessage member : message.getMembersList()) {
+            members.add(member(member.getName(), member.getAddress(), member.getDataCentre()));
+        }
+        List<Sighting> sightings = new ArrayList<>();
+        for (SightingMessage sighting : message.getSightingsList()) {
+            sightings.add(read(sighting, now));
+        }
+        List<Crash> crashes = new ArrayList<>();
+        for (CrashMessage crash : message.getCrashesList()) {
+            crashes.add(new Crash(crash.getFingerprint(), checked(crash.getServer())));
+        }
+        Map<Long, Integer> convictions = new HashMap<>();
+        message.getConvictionsList()
+                .forEach(conviction -> convictions.put(conviction.getFingerprint(), conviction.getSeconds()));
+        return new FleetDigest(
+                sender,
+                message.getIncarnation(),
+                message.getSequence(),
+                message.getStopping(),
+                message.getAsks(),
+                new FleetDigest.Standing(message.getRevision(), message.getPublisherReached(), message.getWatching()),
+                members,
+                sightings,
+                crashes,
+                convictions,
+                message.hasChanges() ? read(message.getChanges()) : null,
+                message.getFleetSize());
+    }
+
+    /**
+     * Reads a sighting.
+     *
+     * @param message the message
+     * @param now the time in nanoseconds
+     * @return the sighting, in the time of this host
+     * @throws PeerMessageException if a value is impossible
+     */
+    private static Sighting read(SightingMessage message, long now) throws PeerMessageException {
+        SightingKind[] kinds = SightingKind.values();
+        int age = message.getAgeMilliseconds();
+        boolean possible = message.getKind() >= 0
+                && message.getKind() < kinds.length
+                && age >= 0
+                && age <= LARGEST_AGE_MILLISECONDS
+                && message.getInFlight() >= 0
+                && message.getSlots() >= 0
+                && message.getSlownessPercent() >= 0;
+        if (!possible) {
+            throw new PeerMessageException("sighting of \"" + message.getServer() + "\" has kind " + message.getKind()
+                    + ", age " + age + " ms, " + message.getInFlight() + " in flight");
+        }
+        SightingKind kind = kinds[message.getKind()];
+        LoadReport report = kind == SightingKind.LOAD
+                ? new LoadReport(message.getInFlight(), message.getSlots(), message.getSlownessPercent())
+                : null;
+        return new Sighting(checked(message.getServer()), kind, report, now - age * MILLISECOND);
+    }
+
+    /**
+     * Reads published items.
+     *
+     * @param message the message
+     * @return the items
+     * @throws PeerMessageException if a value is impossible
+     */
+    public static FleetDigest.Changes read(PublicationReply message) throws PeerMessageException {
+        if (message.getAfter() < 0 || message.getRevision() < message.getAfter()) {
+            throw new PeerMessageException("published items after revision " + message.getAfter()
+                    + " are complete up to revision " + message.getRevision());
+        }
+        List<PublishedItem> items = new ArrayList<>();
+        for (PublishedItemMessage item : message.getItemsList()) {
+            byte[] value = item.getRemoved() ? null : item.getValue().toByteArray();
+            items.add(new PublishedItem(checked(item.getKey()), item.getRevision(), value));
+        }
+        return new FleetDigest.Changes(message.getAfter(), message.getRevision(), items);
+    }
+
+    /**
+     * Reads a member.
+     *
+     * @param name the name of its host
+     * @param address the address at which it listens
+     * @param dataCentre the data centre that its host stands in
+     * @return the member
+     * @throws PeerMessageException if a value is impossible
+     */
+    private static Member member(String name, String address, String dataCentre) throws PeerMessageException {
+        boolean possible = address.lastIndexOf(':') > 0 && dataCentre.length() <= LONGEST_TEXT;
+        if (!possible) {
+            throw new PeerMessageException("host \"" + name + "\" has the address \"" + address + "\"");
+        }
+        return new Member(checked(name), checked(address), dataCentre);
+    }
+
+    /**
+     * Checks a text.
+     *
+     * @param text the text
+     * @return the text
+     * @throws PeerMessageException if it is empty or too long
+     */
+    private static String checked(String text) throws PeerMessageException {
+        if (text.isEmpty() || text.length() > LONGEST_TEXT) {
+            throw new PeerMessageException("a name of " + text.length() + " characters");
+        }
+        return text;
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/PeerCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/PeerCodec.java
@@ -12,6 +12,7 @@
 import org.chivecourse.protocol.peer.generated.KeyReplyMessage;
 import org.chivecourse.protocol.peer.generated.KeyVerdictMessage;
 import org.chivecourse.protocol.peer.generated.PeerMessage;
+import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.key.KeyQuestion;
 import org.chivecourse.state.key.KeyReply;
 import org.chivecourse.state.key.KeyVerdict;
@@ -115,15 +116,27 @@
         return seal.close(message.setVersion(VERSION).build().toByteArray());
     }
 
+    /**
+     * Prints a digest of a fleet that finds itself.
+     *
+     * @param digest the digest
+     * @param now the time in nanoseconds
+     * @return the datagram
+     */
+    public byte[] print(FleetDigest digest, long now) {
+        return seal(PeerMessage.newBuilder().setFleetDigest(FleetCodec.print(digest, now)));
+    }
+
     /**
      * Reads a datagram.
      *
      * @param datagram the datagram
      * @param sender the address that it came from
+     * @param now the time in nanoseconds
      * @return what it tells the decision core
      * @throws PeerMessageException if the datagram is malformed, oversized, forged or of another version
      */
-    public Event read(byte[] datagram, String sender) throws PeerMessageException {
+    public Event read(byte[] datagram, String sender, long now) throws PeerMessageException {
         if (datagram.length > LARGEST_DATAGRAM_BYTES) {
             throw new PeerMessageException("datagram of " + datagram.length + " bytes is too large");
         }
@@ -138,6 +151,7 @@
         }
         return switch (message.getBodyCase()) {
             case DIGEST -> new Event.DigestArrived(digest(message.getDigest()));
+            case FLEET_DIGEST -> new Event.FleetHeard(FleetCodec.read(message.getFleetDigest(), now));
             case KEY_QUESTION -> new Event.KeyAsked(question(message.getKeyQuestion()), sender);
             case KEY_REPLY -> new Event.KeyReplied(reply(message.getKeyReply()));
             default -> throw new PeerMessageException("datagram has no body that is known");
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/CallState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/CallState.java
@@ -8,6 +8,11 @@
 /** A call that a host has accepted. */
 public final class CallState {
 
+    /** The order of calls by rank, then by deadline, and by arrival among equals. */
+    public static final Comparator<CallState> BY_RANK = Comparator.<CallState>comparingInt(call -> call.terms.rank())
+            .thenComparingLong(call -> call.terms.deadline())
+            .thenComparingLong(call -> call.identifier);
+
     /** The order of calls by deadline, and by arrival among equals. */
     public static final Comparator<CallState> BY_DEADLINE = Comparator.<CallState>comparingLong(
                     call -> call.terms.deadline())
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/CallTerms.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/CallTerms.java
@@ -16,6 +16,9 @@
  * @param fingerprint a number that copies of the request share
  * @param arrivedAt the time of arrival in nanoseconds
  * @param deadline the time in nanoseconds at which the caller gets an answer in any case
+ * @param route the name of the route, empty if the service's own path prefix decided
+ * @param rank the order in which calls keep capacity, zero for the most urgent
+ * @param targetNanoseconds the time after arrival within which an answer is of full use, in nanoseconds
  */
 public record CallTerms(
         String service,
@@ -28,4 +31,7 @@
         String key,
         long fingerprint,
         long arrivedAt,
-        long deadline) {}
+        long deadline,
+        String route,
+        int rank,
+        long targetNanoseconds) {}
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -0,0 +1,72 @@
+package org.chivecourse.state.fleet;
+
+import java.util.List;
+import java.util.Map;
+import org.chivecourse.state.publication.PublishedItem;
+
+/**
+ * What a gateway tells others of itself and of what it saw.
+ *
+ * @param sender the gateway
+ * @param incarnation the number of its life
+ * @param sequence the number of the digest within its life
+ * @param stopping whether it is stopping
+ * @param asks whether it asks for a digest in return
+ * @param standing how it stands with the publisher
+ * @param members other gateways that it knows
+ * @param sightings what it saw of backend servers
+ * @param crashes the requests whose runs coincided with failures of backend servers
+ * @param convictions the fingerprints of requests that are refused, with the seconds for which they are
+ * @param changes published items, {@code null} if it tells none
+ * @param fleetSize the number of gateways that it knows, itself included
+ */
+public record FleetDigest(
+        Member sender,
+        long incarnation,
+        long sequence,
+        boolean stopping,
+        boolean asks,
+        Standing standing,
+        List<Member> members,
+        List<Sighting> sightings,
+        List<Crash> crashes,
+        Map<Long, Integer> convictions,
+        Changes changes,
+        int fleetSize) {
+
+    /**
+     * Creates a digest whose lists are copied.
+     */
+    public FleetDigest {
+        members = List.copyOf(members);
+        sightings = List.copyOf(sightings);
+        crashes = List.copyOf(crashes);
+        convictions = Map.copyOf(convictions);
+    }
+
+    /**
+     * How a gateway stands with the publisher.
+     *
+     * @param revision the revision up to which it knows the published items
+     * @param reached whether the publisher answers it
+     * @param watching whether it watches the publisher
+     */
+    public record Standing(long revision, boolean reached, boolean watching) {}
+
+    /**
+     * Published items.
+     *
+     * @param after the revision after which the items follow, zero if they are all that there are
+     * @param revision the revision up to which they are complete
+     * @param items the items and removals
+     */
+    public record Changes(long after, long revision, List<PublishedItem> items) {
+
+        /**
+         * Creates changes whose items are copied.
+         */
+        public Changes {
+            items = List.copyOf(items);
+        }
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/LeavingCause.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/LeavingCause.java
@@ -18,7 +18,13 @@
     REFUSAL(true),
 
     /** Another gateway said so. */
-    PEER(false);
+    PEER(false),
+
+    /** Its announcement says so. */
+    ANNOUNCEMENT(false),
+
+    /** Another backend server answers at its address. */
+    REPLACED(false);
 
     /** Whether the host found out by itself. */
     private final boolean foundOut;
@@ -32,6 +38,15 @@
         this.foundOut = foundOut;
     }
 
+    /**
+     * Returns whether later signs that the backend server serves count against the cause.
+     *
+     * @return {@code false} if only whoever stated it can take it back
+     */
+    public boolean revocable() {
+        return this != CONFIGURATION && this != ANNOUNCEMENT && this != REPLACED;
+    }
+
     /**
      * Returns whether the host found out by itself.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/LoadReport.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/LoadReport.java
@@ -5,5 +5,17 @@
  *
  * @param inFlight the number of requests it runs or holds waiting
  * @param slots the number of requests it runs at the same time
+ * @param slownessPercent the time that work takes on its machine at the moment, a hundred as usual, zero if not stated
  */
-public record LoadReport(int inFlight, int slots) {}
+public record LoadReport(int inFlight, int slots, int slownessPercent) {
+
+    /**
+     * Creates a report that does not state how long work takes.
+     *
+     * @param inFlight the number of requests it runs or holds waiting
+     * @param slots the number of requests it runs at the same time
+     */
+    public LoadReport(int inFlight, int slots) {
+        this(inFlight, slots, 0);
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -21,9 +21,21 @@
     /** The factor by which a refusal reduces the limit. */
     private static final double LIMIT_REDUCTION = 0.7;
 
-    /** The backend server as configured. */
+    /** The backend server as configured or announced. */
     private BackendServer server;
 
+    /** The number of its life, zero if it is configured. */
+    private final long incarnation;
+
+    /** Whether it stands in the data centre of this host. */
+    private final boolean near;
+
+    /** The time until which it is slow since it has just started, in nanoseconds. */
+    private long coldUntil;
+
+    /** How well it has worked of late. */
+    private final ServerCondition condition = new ServerCondition();
+
     /** The times at which this host's open requests were begun, the oldest first. */
     private final LongQueue open = new LongQueue();
 
@@ -83,11 +95,28 @@
      * @param warm whether the backend server counts as warm
      */
     public ServerState(BackendServer server, long now, boolean warm) {
+        this(server, 0, true, now, warm);
+    }
+
+    /**
+     * Creates the state of a backend server to which nothing was sent.
+     *
+     * @param server the backend server as configured or announced
+     * @param incarnation the number of its life, zero if it is configured
+     * @param near whether it stands in the data centre of this host
+     * @param now the time in nanoseconds
+     * @param warm whether the backend server has been serving for a while
+     */
+    public ServerState(BackendServer server, long incarnation, boolean near, long now, boolean warm) {
         this.server = server;
+        this.incarnation = incarnation;
+        this.near = near;
         learntAt = now;
+        coldUntil = now;
         startedAt = warm ? now - WARM_NANOSECONDS : now;
         limit = server.slots();
-        leaving = server.mode() == ServerMode.LEAVING ? LeavingCause.CONFIGURATION : LeavingCause.NONE;
+        leaving = LeavingCause.NONE;
+        reconfigure(server);
     }
 
     /**
@@ -96,12 +125,11 @@
      * @param changed the backend server as configured now
      */
     public void reconfigure(BackendServer changed) {
-        boolean was = server.mode() == ServerMode.LEAVING;
-        boolean now = changed.mode() == ServerMode.LEAVING;
+        LeavingCause stated = changed.announced() ? LeavingCause.ANNOUNCEMENT : LeavingCause.CONFIGURATION;
         server = changed;
-        if (now) {
-            leaving = LeavingCause.CONFIGURATION;
-        } else if (was && leaving == LeavingCause.CONFIGURATION) {
+        if (changed.mode() == ServerMode.LEAVING) {
+            leaving = stated;
+        } else if (leaving == stated) {
             leaving = LeavingCause.NONE;
         }
     }
@@ -156,6 +184,7 @@
      * @param now the time
      */
     public void report(LoadReport report, long now) {
+        condition.slowness(report.slownessPercent(), now);
         int others = Math.max(0, report.inFlight() - open.size());
         if (total != null) {
             total.add(others - othersInFlight);
@@ -218,7 +247,7 @@
      * @return {@code true} if it was marked as leaving before
      */
     public boolean stay() {
-        if (leaving == LeavingCause.NONE || leaving == LeavingCause.CONFIGURATION) {
+        if (leaving == LeavingCause.NONE || !leaving.revocable()) {
             return false;
         }
         leaving = LeavingCause.NONE;
@@ -234,6 +263,61 @@
         return server;
     }
 
+    /**
+     * Takes over the time for which it stays slow since it has just started.
+     *
+     * @param time the time until which it is slow, in nanoseconds
+     */
+    public void coldUntil(long time) {
+        coldUntil = time;
+    }
+
+    /**
+     * Returns whether it is slow since it has just started.
+     *
+     * @param now the time in nanoseconds
+     * @return {@code true} if it said so
+     */
+    public boolean cold(long now) {
+        return now - coldUntil < 0;
+    }
+
+    /**
+     * Returns the number of its life.
+     *
+     * @return the incarnation, zero if it is configured
+     */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /**
+     * Returns whether it stands in the data centre of this host.
+     *
+     * @return {@code true} if no data centre lies between
+     */
+    public boolean near() {
+        return near;
+    }
+
+    /**
+     * Returns how well it has worked of late.
+     *
+     * @return the condition
+     */
+    public ServerCondition condition() {
+        return condition;
+    }
+
+    /**
+     * Returns the identity.
+     *
+     * @return the name under which it announced itself, or its address if it is configured
+     */
+    public String identity() {
+        return server.identity();
+    }
+
     /**
      * Returns the address.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
@@ -86,12 +86,22 @@
      */
     private void perform(List<Decision> decisions, boolean configurations) {
         for (Decision decision : decisions) {
-            if (decision instanceof Decision.Apply == configurations) {
+            if (inForce(decision) == configurations) {
                 performer.decide(decision);
             }
         }
     }
 
+    /**
+     * Returns whether a decision puts a configuration or backend servers in force.
+     *
+     * @param decision the decision
+     * @return {@code true} if it is carried out before the next event
+     */
+    private static boolean inForce(Decision decision) {
+        return decision instanceof Decision.Apply || decision instanceof Decision.UseServers;
+    }
+
     /**
      * Reads from the core while no event is being handled.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -1,6 +1,7 @@
 package org.chivecourse.transport.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -10,8 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
-import org.chivecourse.protocol.http.HeaderNames;
-import org.chivecourse.protocol.http.LoadReportField;
+import org.chivecourse.protocol.http.HeaderDialect;
 import org.chivecourse.transport.driver.CoreDriver;
 import org.reactivestreams.Publisher;
 import reactor.core.Disposable;
@@ -28,6 +28,9 @@
 /** One sending of a request to a backend server. */
 final class BackendAttempt {
 
+    /** The largest body that is held until it is whole, so that a cut one is not passed on. */
+    private static final long LARGEST_HELD_BYTES = 64 * 1024;
+
     /** The decision that started the attempt. */
     private final Decision.Send send;
 
@@ -52,6 +55,9 @@
     /** Whether the attempt is abandoned. */
     private volatile boolean dropped;
 
+    /** The body of an answer that has arrived whole, {@code null} if it is passed on as it arrives. */
+    private volatile byte[] held;
+
     /** The header of the answer, {@code null} before it arrives. */
     private volatile HttpClientResponse response;
 
@@ -128,18 +134,53 @@
             closeConnection();
             return Mono.empty();
         }
+        IdleLimit.note(answering.channel(), head.responseHeaders());
+        HeaderDialect dialect = register.dialect();
         HttpHeaders headers = head.responseHeaders();
-        if (!lengthKnown(head)) {
-            return broken("answer states no length, so that its end cannot be told from a cut");
+        int status = head.status().code();
+        String foreign = dialect.foreign(exchange.identifier(), status, headers);
+        if (foreign != null) {
+            return broken(foreign);
+        }
+        Event.AnswerHead answer = dialect.read(status, headers, exchange.refusalSignal());
+        long stated = statedLength();
+        if (bodyless() || stated < 0 || stated > LARGEST_HELD_BYTES) {
+            driver.handle(new Event.AnswerStarted(send.attempt(), answer));
+            return consumed.asMono();
+        }
+        return answering
+                .inbound()
+                .receive()
+                .aggregate()
+                .asByteArray()
+                .defaultIfEmpty(new byte[0])
+                .flatMap(body -> hold(body, stated, answer));
+    }
+
+    /**
+     * Tells the core the header of an answer that has arrived whole.
+     *
+     * @param body the body
+     * @param stated the length that the header states
+     * @param answer what the header says
+     * @return completes when the connection is no longer of interest
+     */
+    private Mono<Void> hold(byte[] body, long stated, Event.AnswerHead answer) {
+        if (body.length != stated) {
+            return broken("the answer has " + body.length + " octets in place of " + stated);
         }
-        String signal = headers.get(exchange.refusalHeader());
-        Event.AnswerHead answer = new Event.AnswerHead(
-                head.status().code(),
-                exchange.refusalSignal().matches(head.status().code(), signal),
-                headers.contains(HeaderNames.SERVER_LEAVING),
-                LoadReportField.read(headers.get(HeaderNames.LOAD_REPORT)).orElse(null));
+        held = body;
         driver.handle(new Event.AnswerStarted(send.attempt(), answer));
-        return consumed.asMono();
+        return Mono.empty();
+    }
+
+    /**
+     * Returns the decision that started the attempt.
+     *
+     * @return the decision
+     */
+    Decision.Send decision() {
+        return send;
     }
 
     /**
@@ -151,23 +192,12 @@
     private Mono<Void> broken(String reason) {
         closeConnection();
         if (ended.compareAndSet(false, true)) {
+            register.log().attemptFailed(exchange.identifier(), send, true, reason);
             driver.handle(new Event.AttemptBroken(send.attempt(), reason));
         }
         return Mono.empty();
     }
 
-    /**
-     * Returns whether the end of an answer can be told from a cut.
-     *
-     * @param head the header of the answer
-     * @return {@code true} if the answer has no body or states its length or is chunked
-     */
-    private boolean lengthKnown(HttpClientResponse head) {
-        return bodyless()
-                || head.responseHeaders().contains(HttpHeaderNames.CONTENT_LENGTH)
-                || head.responseHeaders().contains(HttpHeaderNames.TRANSFER_ENCODING);
-    }
-
     /**
      * Returns whether the answer has no body by definition.
      *
@@ -196,6 +226,10 @@
      *     the header of the answer states
      */
     Flux<ByteBuf> body() {
+        byte[] whole = held;
+        if (whole != null) {
+            return Flux.defer(() -> Flux.just(Unpooled.wrappedBuffer(whole))).doFinally(signal -> completed());
+        }
         long stated = bodyless() ? -1 : statedLength();
         AtomicLong passed = new AtomicLong();
         return connection
@@ -255,6 +289,7 @@
             return;
         }
         String reason = cause.getClass().getSimpleName() + ": " + cause.getMessage();
+        register.log().attemptFailed(exchange.identifier(), send, proceeding, reason);
         if (proceeding) {
             driver.handle(new Event.AttemptBroken(send.attempt(), reason));
         } else {
@@ -284,6 +319,9 @@
         ended.set(true);
         dropped = true;
         register.removeAttempt(send.attempt());
+        if (held != null) {
+            return;
+        }
         closeConnection();
         consumed.tryEmitEmpty();
         Disposable open = subscription;
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -3,9 +3,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.ssl.SslContext;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.time.Duration;
+import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,17 +15,16 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.chivecourse.configuration.model.BackendServer;
-import org.chivecourse.configuration.model.Configuration;
-import org.chivecourse.configuration.model.Service;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
 
 /** The connections to backend servers, bounded for each. */
 public final class BackendConnections {
 
-    /** The time for which unused connections are kept, shorter than that of usual backend servers. */
-    private static final Duration LONGEST_IDLE = Duration.ofSeconds(30);
+    /** The time for which unused connections are kept where backend servers state none, in milliseconds. */
+    private static final long LONGEST_IDLE_MILLISECONDS = 30_000;
 
     /** The number of hosts among which a backend server's connections are divided. */
     private final int hosts;
@@ -34,7 +35,10 @@
     /** Returns the TLS context for backend servers, or {@code null} for plain connections. */
     private final Supplier<SslContext> tls;
 
-    /** The clients by address. */
+    /** The threads that connections run on. */
+    private final LoopResources loops;
+
+    /** The clients by the identity of their backend server. */
     private final Map<String, Pooled> clients = new ConcurrentHashMap<>();
 
     /**
@@ -43,31 +47,32 @@
      * @param hosts the number of hosts among which a backend server's connections are divided
      * @param settings the bounds on connections
      * @param tls returns the TLS context for backend servers, or {@code null} for plain connections
+     * @param loops the threads that connections run on
      */
-    public BackendConnections(int hosts, HttpSettings settings, Supplier<SslContext> tls) {
+    public BackendConnections(int hosts, HttpSettings settings, Supplier<SslContext> tls, LoopResources loops) {
         this.hosts = hosts;
         this.settings = settings;
         this.tls = tls;
+        this.loops = loops;
     }
 
     /**
-     * Opens pools for the backend servers of a configuration and lets go of those of others.
+     * Opens pools for backend servers and lets go of those of others; their exchanges go on to their ends.
      *
-     * @param configuration the configuration in force
+     * @param servers the backend servers to use
      */
-    public synchronized void apply(Configuration configuration) {
+    public synchronized void apply(List<BackendServer> servers) {
         Map<String, BackendServer> wanted = new HashMap<>();
-        for (Service service : configuration.services()) {
-            service.backendServers().forEach(server -> wanted.put(server.address(), server));
-        }
+        servers.forEach(server -> wanted.put(server.identity(), server));
         clients.entrySet().removeIf(entry -> {
-            boolean gone = !wanted.containsKey(entry.getKey());
+            BackendServer server = wanted.get(entry.getKey());
+            boolean gone = server == null || !server.address().equals(entry.getValue().address);
             if (gone) {
                 entry.getValue().provider.disposeLater().subscribe();
             }
             return gone;
         });
-        wanted.forEach((address, server) -> clients.computeIfAbsent(address, key -> open(server)));
+        wanted.forEach((identity, server) -> clients.computeIfAbsent(identity, key -> open(server)));
     }
 
     /**
@@ -78,15 +83,19 @@
      */
     private Pooled open(BackendServer server) {
         int share = Math.max(1, server.connections() / hosts);
-        ConnectionProvider provider = ConnectionProvider.builder("backend-" + server.address())
+        ConnectionProvider provider = ConnectionProvider.builder("backend-" + server.identity())
                 .maxConnections(share)
                 .pendingAcquireMaxCount(share)
                 .pendingAcquireTimeout(settings.connectTimeout())
-                .maxIdleTime(LONGEST_IDLE)
+                .evictionPredicate(
+                        (connection, metadata) -> !connection.channel().isActive()
+                                || !IdleLimit.usable(
+                                        connection.channel(), metadata.idleTime(), LONGEST_IDLE_MILLISECONDS))
                 .lifo()
                 .build();
-        InetSocketAddress address = address(server.address());
+        InetSocketAddress address = resolved(server.address());
         HttpClient client = HttpClient.create(provider)
+                .runOn(loops)
                 .remoteAddress(() -> address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         settings.connectTimeout().toMillis())
@@ -95,7 +104,27 @@
                 .disableRetry(true)
                 .headers(headers -> headers.remove(HttpHeaderNames.USER_AGENT));
         SslContext context = tls.get();
-        return new Pooled(provider, context == null ? client : client.secure(spec -> spec.sslContext(context)));
+        return new Pooled(
+                provider, context == null ? client : client.secure(spec -> spec.sslContext(context)), server.address());
+    }
+
+    /**
+     * Resolves an address without a look-up if it is an IP number.
+     *
+     * @param address the host name or IP number and the port
+     * @return the socket address
+     */
+    public static InetSocketAddress resolved(String address) {
+        InetSocketAddress unresolved = address(address);
+        byte[] number = NetUtil.createByteArrayFromIpAddressString(unresolved.getHostString());
+        if (number == null) {
+            return unresolved;
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(number), unresolved.getPort());
+        } catch (UnknownHostException exception) {
+            throw new IllegalStateException("an IP number has " + number.length + " octets", exception);
+        }
     }
 
     /**
@@ -112,11 +141,11 @@
     /**
      * Returns the client of a backend server.
      *
-     * @param address the address
-     * @return the client, or {@code null} if the configuration in force does not name the address
+     * @param identity the identity of the backend server
+     * @return the client, or {@code null} if the backend server is not in use
      */
-    HttpClient client(String address) {
-        Pooled pooled = clients.get(address);
+    HttpClient client(String identity) {
+        Pooled pooled = clients.get(identity);
         return pooled == null ? null : pooled.client;
     }
 
@@ -135,6 +164,7 @@
      *
      * @param provider the pool
      * @param client the client
+     * @param address the address of the backend server
      */
-    private record Pooled(ConnectionProvider provider, HttpClient client) {}
+    private record Pooled(ConnectionProvider provider, HttpClient client, String address) {}
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -13,6 +13,7 @@
 import org.chivecourse.configuration.model.RefusalSignal;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.protocol.http.HeaderDialect;
 import org.chivecourse.protocol.http.HeaderNames;
 import org.chivecourse.protocol.http.ProblemDocument;
 import org.chivecourse.protocol.http.RequestTarget;
@@ -107,12 +108,31 @@
         }
         if (signal != SignalType.ON_COMPLETE) {
             register.metrics().aborted();
+            register.log().abandoned(request.identifier(), call, elapsedMilliseconds());
         }
         register.metrics().ended(System.nanoTime() - arrivedAt);
         register.removeExchange(call);
         driver.handle(new Event.CallerLeft(call));
     }
 
+    /**
+     * Returns the time since the request arrived.
+     *
+     * @return the time in milliseconds
+     */
+    long elapsedMilliseconds() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedAt);
+    }
+
+    /**
+     * Returns the identifier that the caller gave the request.
+     *
+     * @return the identifier, empty if it gave none
+     */
+    String identifier() {
+        return request.identifier();
+    }
+
     /**
      * Returns the identifier of the call.
      *
@@ -185,11 +205,16 @@
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
         }
         long remaining = TimeUnit.NANOSECONDS.toMillis(send.deadline() - System.nanoTime());
-        headers.set(HeaderNames.DEADLINE, Math.max(1, remaining));
-        headers.set(HeaderNames.DEPTH, request.arrival().depth() + 1);
-        headers.set(HeaderNames.ATTEMPT, send.number());
-        headers.set("X-Forwarded-For", request.forwardedFor());
-        headers.set("X-Forwarded-Proto", in.scheme());
+        register.dialect()
+                .fill(
+                        headers,
+                        new HeaderDialect.Outgoing(
+                                Math.max(1, remaining),
+                                request.arrival().depth() + 1,
+                                send.number(),
+                                send.address(),
+                                request.forwardedFor(),
+                                in.scheme()));
     }
 
     /**
@@ -222,6 +247,12 @@
             attempt.drop();
             return;
         }
+        register.log()
+                .delivered(
+                        request.identifier(),
+                        attempt.decision(),
+                        attempt.response().status().code(),
+                        elapsedMilliseconds());
         answer.tryEmitValue(Mono.defer(() -> writeAnswer(attempt)));
     }
 
@@ -258,10 +289,11 @@
         if (!decided.compareAndSet(false, true)) {
             return;
         }
+        register.log().refused(request.identifier(), call, refusal, elapsedMilliseconds());
         answer.tryEmitValue(Mono.defer(() -> {
             closeIfStopping();
             register.metrics().refused(refusal.outcome());
-            return writeRefusal(response, refusal, head());
+            return writeRefusal(response, refusal, head(), register.dialect());
         }));
     }
 
@@ -271,16 +303,18 @@
      * @param response the answer to the caller
      * @param refusal what to tell
      * @param head whether the request asks for the header only
+     * @param dialect the header fields of callers
      * @return completes when the caller has its answer
      */
-    static Mono<Void> writeRefusal(HttpServerResponse response, Decision.Refusal refusal, boolean head) {
+    static Mono<Void> writeRefusal(
+            HttpServerResponse response, Decision.Refusal refusal, boolean head, HeaderDialect dialect) {
         byte[] document = ProblemDocument.print(refusal);
         response.status(refusal.reason().status());
         response.header(HttpHeaderNames.CONTENT_TYPE, ProblemDocument.MEDIA_TYPE);
         response.header(HeaderNames.OUTCOME, MappingReader.nameOf(refusal.outcome()));
         response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(document.length));
-        if (refusal.retryAfterSeconds() > 0) {
-            response.header(HeaderNames.RETRY_AFTER, Integer.toString(refusal.retryAfterSeconds()));
+        if (refusal.retryAfterMilliseconds() > 0) {
+            response.header(HeaderNames.RETRY_AFTER, dialect.retryAfter(refusal.retryAfterMilliseconds()));
         }
         return head
                 ? response.send().then()
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -21,6 +21,7 @@
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
 
 /** Listens for callers and leads each request through an exchange. */
 public final class CallerListener {
@@ -40,6 +41,9 @@
     /** The register of exchanges. */
     private final ExchangeRegister register;
 
+    /** The threads that connections run on. */
+    private final LoopResources loops;
+
     /** The listening server, {@code null} before the start. */
     private DisposableServer server;
 
@@ -57,18 +61,21 @@
      * @param tls returns the TLS context for callers, or {@code null} for plain connections
      * @param driver the driver of the decision core
      * @param register the register of exchanges
+     * @param loops the threads that connections run on
      */
     public CallerListener(
             InetSocketAddress address,
             HttpSettings settings,
             Supplier<SslContext> tls,
             CoreDriver driver,
-            ExchangeRegister register) {
+            ExchangeRegister register,
+            LoopResources loops) {
         this.address = address;
         this.settings = settings;
         this.tls = tls;
         this.driver = driver;
         this.register = register;
+        this.loops = loops;
     }
 
     /**
@@ -76,6 +83,7 @@
      */
     public void start() {
         HttpServer builder = HttpServer.create()
+                .runOn(loops)
                 .bindAddress(() -> address)
                 .idleTimeout(settings.idleTimeout())
                 .readTimeout(settings.readTimeout())
@@ -190,7 +198,8 @@
      */
     private Mono<Void> exchange(HttpServerRequest request, HttpServerResponse response, Method method, byte[] body) {
         try {
-            CallerRequest read = CallerRequest.read(request, method, refusals, body, settings.largestBodyBytes());
+            CallerRequest read = CallerRequest.read(
+                    request, method, refusals, register.dialect(), body, settings.largestBodyBytes());
             return new CallerExchange(driver.nextCall(), read, response, driver, register, () -> stopping).serve();
         } catch (BadRequestException exception) {
             return refuse(response, Reason.BAD_REQUEST);
@@ -204,9 +213,10 @@
      * @param reason why
      * @return completes when the caller has its answer
      */
-    private static Mono<Void> refuse(HttpServerResponse response, Reason reason) {
+    private Mono<Void> refuse(HttpServerResponse response, Reason reason) {
         response.keepAlive(false);
-        return CallerExchange.writeRefusal(response, new Decision.Refusal(Outcome.NOT_RUN, reason, 0), false);
+        return CallerExchange.writeRefusal(
+                response, new Decision.Refusal(Outcome.NOT_RUN, reason, 0), false, register.dialect());
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
@@ -14,6 +14,7 @@
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.protocol.http.BadRequestException;
 import org.chivecourse.protocol.http.Fingerprint;
+import org.chivecourse.protocol.http.HeaderDialect;
 import org.chivecourse.protocol.http.HeaderNames;
 import org.chivecourse.protocol.http.KeyAge;
 import org.chivecourse.protocol.http.RequestTarget;
@@ -24,6 +25,7 @@
  * A caller's request as the gateway understands it.
  *
  * @param request the request
+ * @param identifier the identifier that the caller gave the request, empty if it gave none
  * @param target the target
  * @param arrival what the core is told
  * @param refusal the signal by which backend servers refuse the request
@@ -34,6 +36,7 @@
  */
 record CallerRequest(
         HttpServerRequest request,
+        String identifier,
         RequestTarget target,
         Arrival arrival,
         RefusalSignal refusal,
@@ -60,23 +63,32 @@
      * @param request the request
      * @param method the method
      * @param refusal returns the refusal signal of the service that a path leads to
+     * @param dialect the header fields of callers
      * @param held the body if it can be sent again, {@code null} if it is streamed
      * @param largestBodyBytes the largest size of a streamed body
      * @return the request as the gateway understands it
      * @throws BadRequestException if the request is malformed
      */
     static CallerRequest read(
-            HttpServerRequest request, Method method, RefusalSignals refusal, byte[] held, long largestBodyBytes)
+            HttpServerRequest request,
+            Method method,
+            RefusalSignals refusal,
+            HeaderDialect dialect,
+            byte[] held,
+            long largestBodyBytes)
             throws BadRequestException {
         RequestTarget target = RequestTarget.read(request.uri());
         HttpHeaders headers = request.requestHeaders();
-        String key = headers.get(HeaderNames.IDEMPOTENCY_KEY, "");
+        String keyField = dialect.idempotencyKey();
+        String key = keyField.isEmpty() ? "" : headers.get(keyField, "");
         if (key.length() > LONGEST_KEY
-                || headers.getAll(HeaderNames.IDEMPOTENCY_KEY).size() > 1) {
+                || !key.isEmpty() && headers.getAll(keyField).size() > 1) {
             throw new BadRequestException("the request holds several idempotency keys or one that is too long");
         }
-        long deadline = number(headers, HeaderNames.DEADLINE, LONGEST_DEADLINE_MILLISECONDS);
+        long deadline = number(headers, dialect.deadline(), LONGEST_DEADLINE_MILLISECONDS);
         int depth = (int) number(headers, HeaderNames.DEPTH, LARGEST_DEPTH);
+        String host = hostName(headers.get(HttpHeaderNames.HOST, ""));
+        String copies = dialect.copyContext(host, callerOf(request));
         Arrival arrival = new Arrival(
                 method,
                 target.path(),
@@ -85,10 +97,13 @@
                 held != null,
                 key,
                 KeyAge.nanoseconds(key, System.currentTimeMillis()),
-                Fingerprint.of(method, target.forwarded(), key, held));
+                Fingerprint.of(method, target.forwarded(), key + copies, held),
+                host);
         boolean chunked = held == null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+        String identifier = dialect.requestIdentifier().isEmpty() ? "" : headers.get(dialect.requestIdentifier(), "");
         return new CallerRequest(
                 request,
+                identifier,
                 target,
                 arrival,
                 refusal.of(target.path()),
@@ -98,6 +113,30 @@
                 largestBodyBytes);
     }
 
+    /**
+     * Returns the host name in the field that names a host and perhaps a port.
+     *
+     * @param value the value of the field
+     * @return the host name in lower case
+     */
+    private static String hostName(String value) {
+        int port = value.lastIndexOf(':');
+        boolean named = port >= 0 && value.indexOf(']', port) < 0;
+        return (named ? value.substring(0, port) : value).toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns the address of a caller.
+     *
+     * @param request the request
+     * @return the IP number, or {@code unknown}
+     */
+    private static String callerOf(HttpServerRequest request) {
+        return request.remoteAddress() == null
+                ? "unknown"
+                : request.remoteAddress().getAddress().getHostAddress();
+    }
+
     /**
      * Returns the number in a header field.
      *
@@ -164,9 +203,7 @@
      */
     String forwardedFor() {
         String before = request.requestHeaders().get("X-Forwarded-For");
-        String caller = request.remoteAddress() == null
-                ? "unknown"
-                : request.remoteAddress().getAddress().getHostAddress();
+        String caller = callerOf(request);
         return before == null ? caller : before + ", " + caller;
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegister.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegister.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.protocol.http.HeaderDialect;
 import org.chivecourse.transport.driver.CoreDriver;
 
 /** Finds the exchange or attempt that a decision concerns and has it carried out. */
@@ -18,6 +19,12 @@
     /** Counts and times exchanges. */
     private final ExchangeMetrics metrics;
 
+    /** The header fields of callers and backend servers. */
+    private final HeaderDialect dialect;
+
+    /** Receives the decisions that touch single requests. */
+    private final CallLog log;
+
     /** The open exchanges with callers, by identifier of the call. */
     private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
 
@@ -30,11 +37,38 @@
      * @param driver the driver of the decision core
      * @param connections the connections to backend servers
      * @param metrics counts and times exchanges
+     * @param dialect the header fields of callers and backend servers
+     * @param log receives the decisions that touch single requests
      */
-    public ExchangeRegister(CoreDriver driver, BackendConnections connections, ExchangeMetrics metrics) {
+    public ExchangeRegister(
+            CoreDriver driver,
+            BackendConnections connections,
+            ExchangeMetrics metrics,
+            HeaderDialect dialect,
+            CallLog log) {
         this.driver = driver;
         this.connections = connections;
         this.metrics = metrics;
+        this.dialect = dialect;
+        this.log = log;
+    }
+
+    /**
+     * Returns the header fields of callers and backend servers.
+     *
+     * @return the dialect
+     */
+    HeaderDialect dialect() {
+        return dialect;
+    }
+
+    /**
+     * Returns what receives the decisions that touch single requests.
+     *
+     * @return the log
+     */
+    CallLog log() {
+        return log;
     }
 
     /**
@@ -119,6 +153,7 @@
         }
         BackendAttempt attempt = new BackendAttempt(send, exchange, driver, this);
         attempts.put(send.attempt(), attempt);
+        log.sent(exchange.identifier(), send);
         attempt.start(connections.client(send.address()));
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/HttpSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/HttpSettings.java
@@ -31,4 +31,15 @@
             Duration.ofSeconds(60),
             Duration.ofMillis(500),
             Duration.ofSeconds(60));
+
+    /**
+     * Returns these bounds with another time to connect.
+     *
+     * @param time the longest time to open a connection to a backend server
+     * @return the changed bounds
+     */
+    public HttpSettings connectTimeout(Duration time) {
+        return new HttpSettings(
+                largestHeaderBytes, largestBodyBytes, replayBytes, readTimeout, idleTimeout, time, stallTimeout);
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerLooks.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerLooks.java
@@ -1,5 +1,6 @@
 package org.chivecourse.transport.http;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.Set;
@@ -8,8 +9,8 @@
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.health.HealthAnswer;
-import org.chivecourse.protocol.http.HeaderNames;
-import org.chivecourse.protocol.http.LoadReportField;
+import org.chivecourse.coordination.measure.ProbeFinding;
+import org.chivecourse.protocol.http.HeaderDialect;
 import org.chivecourse.state.server.LoadReport;
 import org.chivecourse.transport.driver.CoreDriver;
 import reactor.core.publisher.Mono;
@@ -22,11 +23,8 @@
     /** The path of the health endpoint. */
     private static final String HEALTH_PATH = "/health";
 
-    /** The path of the load endpoint. */
-    private static final String LOAD_PATH = "/load";
-
     /** The time within which a look has to be answered. */
-    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    public static final Duration TIMEOUT = Duration.ofSeconds(2);
 
     /** The status of a backend server that is leaving. */
     private static final int UNAVAILABLE = 503;
@@ -37,6 +35,12 @@
     /** The connections to backend servers. */
     private final BackendConnections connections;
 
+    /** The header fields of backend servers. */
+    private final HeaderDialect dialect;
+
+    /** The time within which a probe has to be answered. */
+    private final Duration probeTimeout;
+
     /** The addresses whose probe may be sent. */
     private final Set<String> allowed = ConcurrentHashMap.newKeySet();
 
@@ -48,10 +52,15 @@
      *
      * @param driver the driver of the decision core
      * @param connections the connections to backend servers
+     * @param dialect the header fields of backend servers
+     * @param probeTimeout the time within which a probe has to be answered
      */
-    public ServerLooks(CoreDriver driver, BackendConnections connections) {
+    public ServerLooks(
+            CoreDriver driver, BackendConnections connections, HeaderDialect dialect, Duration probeTimeout) {
         this.driver = driver;
         this.connections = connections;
+        this.dialect = dialect;
+        this.probeTimeout = probeTimeout;
     }
 
     /**
@@ -64,7 +73,7 @@
         if (decision instanceof Decision.CheckHealth check) {
             checkHealth(check.address());
         } else if (decision instanceof Decision.Probe probe) {
-            probe(probe.address());
+            probe(probe.address(), probe.path());
         } else if (decision instanceof Decision.SendProbe send) {
             allowed.add(send.address());
         } else {
@@ -106,16 +115,17 @@
     /**
      * Probes the load of a backend server.
      *
-     * @param address the address of the backend server
+     * @param address the identity of the backend server
+     * @param path the path of the endpoint that states the load
      */
-    private void probe(String address) {
+    private void probe(String address, String path) {
         HttpClient client = connections.client(address);
         if (client == null || !probing.add(address)) {
             return;
         }
         AtomicLong sentAt = new AtomicLong();
         client.request(HttpMethod.GET)
-                .uri(LOAD_PATH)
+                .uri(path)
                 .send((request, outbound) -> {
                     driver.handle(new Event.ProbeReady(address));
                     if (!allowed.remove(address)) {
@@ -124,32 +134,41 @@
                     sentAt.set(System.nanoTime());
                     return outbound;
                 })
-                .response()
-                .timeout(TIMEOUT)
-                .mapNotNull(response -> LoadReportField.read(
-                                response.responseHeaders().get(HeaderNames.LOAD_REPORT))
-                        .orElse(null))
-                .onErrorResume(failure -> Mono.empty())
+                .responseSingle((response, body) ->
+                        body.asByteArray().defaultIfEmpty(new byte[0]).map(read -> response))
+                .timeout(probeTimeout)
                 .subscribe(
-                        report -> ended(address, sentAt.getAndSet(0), report),
-                        failure -> probing.remove(address),
-                        () -> {
-                            probing.remove(address);
-                            if (sentAt.get() != 0) {
-                                ended(address, sentAt.get(), null);
-                            }
-                        });
+                        response -> ended(address, sentAt.get(), response), failure -> failed(address, sentAt.get()));
     }
 
     /**
-     * Tells the core the end of a probe that was sent.
+     * Tells the core of the answer to a probe.
      *
-     * @param address the address of the backend server
-     * @param sentAt the time at which it was sent, in nanoseconds
-     * @param report the report, {@code null} if there is none
+     * @param address the identity of the backend server
+     * @param sentAt the time at which the probe was sent, in nanoseconds
+     * @param response the answer
      */
-    private void ended(String address, long sentAt, LoadReport report) {
+    private void ended(String address, long sentAt, HttpClientResponse response) {
+        probing.remove(address);
+        HttpHeaders headers = response.responseHeaders();
+        String identity = dialect.identity(headers);
+        LoadReport report = dialect.load(headers);
+        ProbeFinding finding = response.status().code() == UNAVAILABLE ? ProbeFinding.UNWELL : ProbeFinding.SERVING;
+        if (identity != null && !identity.equals(address)) {
+            finding = ProbeFinding.OTHER_SERVER;
+        }
         long taken = report == null ? 0 : System.nanoTime() - sentAt;
-        driver.handle(new Event.ProbeEnded(address, true, report, taken));
+        driver.handle(new Event.ProbeEnded(address, true, report, taken, finding));
+    }
+
+    /**
+     * Tells the core that a probe failed.
+     *
+     * @param address the identity of the backend server
+     * @param sentAt the time at which the probe was sent, in nanoseconds, zero if it was not
+     */
+    private void failed(String address, long sentAt) {
+        probing.remove(address);
+        driver.handle(new Event.ProbeEnded(address, sentAt != 0, null, 0, ProbeFinding.UNREACHABLE));
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationStream.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationStream.java
@@ -4,6 +4,8 @@
 import com.google.protobuf.MessageLite;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -15,8 +17,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.util.HexFormat;
@@ -27,6 +27,7 @@
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.protocol.peer.Deflation;
+import org.chivecourse.protocol.peer.FleetCodec;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.PeerMessageException;
 import org.chivecourse.protocol.peer.generated.ConfigurationReply;
@@ -62,6 +63,9 @@
     /** Counts what is exchanged. */
     private final PeerMetrics metrics;
 
+    /** The listening channel, {@code null} before the start. */
+    private volatile Channel listening;
+
     /**
      * Creates a stream that is not started.
      *
@@ -83,7 +87,7 @@
      * @throws InterruptedException if the thread is interrupted
      */
     boolean start(InetSocketAddress address) throws InterruptedException {
-        return new ServerBootstrap()
+        ChannelFuture bound = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -94,8 +98,18 @@
                     }
                 })
                 .bind(address)
-                .await()
-                .isSuccess();
+                .await();
+        listening = bound.channel();
+        return bound.isSuccess();
+    }
+
+    /**
+     * Stops to serve.
+     */
+    void stop() {
+        if (listening != null) {
+            listening.close();
+        }
     }
 
     /**
@@ -110,8 +124,7 @@
                 .addLast(new ReadTimeoutHandler(TIMEOUT_SECONDS))
                 .addLast(new LengthFieldBasedFrameDecoder(largestBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                .addLast(new ProtobufDecoder(prototype))
-                .addLast(new ProtobufEncoder());
+                .addLast(new LiteMessages(prototype));
     }
 
     /**
@@ -120,7 +133,40 @@
      * @param pull the decision
      */
     void fetch(Decision.PullConfiguration pull) {
-        InetSocketAddress unresolved = BackendConnections.address(pull.address());
+        ConfigurationRequest request = ConfigurationRequest.newBuilder()
+                .setVersion(PeerCodec.VERSION)
+                .setConfigurationDigest(PeerCodec.bytes(pull.digest()))
+                .build();
+        fetch(pull.name(), pull.address(), request, reply -> configuration(pull, reply));
+    }
+
+    /**
+     * Fetches published items.
+     *
+     * @param pull the decision
+     */
+    void fetch(Decision.PullPublication pull) {
+        ConfigurationRequest request = ConfigurationRequest.newBuilder()
+                .setVersion(PeerCodec.VERSION)
+                .setAsksPublication(true)
+                .setPublicationAfter(pull.after())
+                .build();
+        fetch(
+                pull.name(),
+                pull.address(),
+                request,
+                reply -> new Event.PublicationPulled(pull.name(), FleetCodec.read(reply.getPublication())));
+    }
+
+    /**
+     * Sends a request to another gateway and tells the core what its reply says.
+     *
+     * @param name the name of the other gateway's host
+     * @param address the address at which the other gateway listens
+     * @param request the request
+     * @param reader reads the reply
+     */
+    private void fetch(String name, String address, ConfigurationRequest request, ReplyReader reader) {
         new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -129,33 +175,93 @@
                     @Override
                     protected void initChannel(SocketChannel connected) {
                         prepare(connected, LARGEST_REPLY_BYTES, ConfigurationReply.getDefaultInstance());
-                        connected.pipeline().addLast(new ReplyHandler(pull));
+                        connected.pipeline().addLast(new ReplyHandler(name, request, reader));
                     }
                 })
-                .connect(new InetSocketAddress(unresolved.getHostString(), unresolved.getPort()))
+                .connect(BackendConnections.resolved(address))
                 .addListener(future -> {
                     if (!future.isSuccess()) {
-                        driver.handle(
-                                new Event.PullFailed(pull.name(), future.cause().toString()));
+                        driver.handle(new Event.PullFailed(name, future.cause().toString()));
                     }
                 });
     }
 
-    /** Answers requests with the configuration in force if it is the one that is asked for. */
+    /**
+     * Reads the configuration of a reply, which has to have the digest that was announced.
+     *
+     * @param pull the decision
+     * @param reply the reply
+     * @return the event that tells it
+     * @throws PeerMessageException if the reply holds another configuration
+     * @throws DocumentException if the configuration cannot be read
+     * @throws ConfigurationException if the configuration is invalid
+     */
+    private static Event configuration(Decision.PullConfiguration pull, ConfigurationReply reply)
+            throws PeerMessageException, DocumentException, ConfigurationException {
+        String text = Deflation.inflate(reply.getDeflatedText().toByteArray(), PlatformProtocol.LARGEST_VALUE_BYTES);
+        ReadConfiguration read = new ConfigurationReader().read(pull.name(), text);
+        if (!read.printed().digest().equals(pull.digest())) {
+            throw new PeerMessageException("digest " + read.printed().digest() + " was not announced");
+        }
+        return new Event.ConfigurationRead(read, pull.name());
+    }
+
+    /** Reads the reply of another gateway. */
+    @FunctionalInterface
+    private interface ReplyReader {
+
+        /**
+         * Reads a reply.
+         *
+         * @param reply the reply
+         * @return the event that tells what it says
+         * @throws PeerMessageException if the reply is not the one that was asked for
+         * @throws DocumentException if a configuration cannot be read
+         * @throws ConfigurationException if a configuration is invalid
+         */
+        Event read(ConfigurationReply reply) throws PeerMessageException, DocumentException, ConfigurationException;
+    }
+
+    /** Answers requests with the configuration in force if it is the one that is asked for, or with published items. */
     private final class RequestHandler extends SimpleChannelInboundHandler<ConfigurationRequest> {
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ConfigurationRequest request) {
-            String wanted =
-                    HexFormat.of().formatHex(request.getConfigurationDigest().toByteArray());
+            ConfigurationReply reply = request.getAsksPublication()
+                    ? published(request.getPublicationAfter())
+                    : configured(HexFormat.of()
+                            .formatHex(request.getConfigurationDigest().toByteArray()));
+            metrics.configurationSent(reply.getSerializedSize());
+            context.writeAndFlush(reply).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        /**
+         * Returns the published items after a revision.
+         *
+         * @param after the revision
+         * @return the reply
+         */
+        private ConfigurationReply published(long after) {
+            return ConfigurationReply.newBuilder()
+                    .setPublication(FleetCodec.print(
+                            driver.read(core -> core.published().changesAfter(Math.max(0, after)))))
+                    .build();
+        }
+
+        /**
+         * Returns the configuration in force if it is the one that is asked for.
+         *
+         * @param wanted the digest
+         * @return the reply
+         */
+        private ConfigurationReply configured(String wanted) {
             ConfigurationReply.Builder reply = ConfigurationReply.newBuilder();
             driver.read(core -> core.configurations().current())
                     .map(ReadConfiguration::printed)
                     .filter(printed -> printed.digest().equals(wanted))
                     .ifPresent(
                             printed -> reply.setDeflatedText(ByteString.copyFrom(Deflation.deflate(printed.text()))));
-            metrics.configurationSent(reply.getDeflatedText().size());
-            context.writeAndFlush(reply.build()).addListener(ChannelFutureListener.CLOSE);
+            return reply.build();
         }
 
         @Override
@@ -165,11 +271,17 @@
         }
     }
 
-    /** Sends a request and takes the reply, which has to have the digest that was announced. */
+    /** Sends a request and takes the reply. */
     private final class ReplyHandler extends SimpleChannelInboundHandler<ConfigurationReply> {
 
-        /** The decision. */
-        private final Decision.PullConfiguration pull;
+        /** The name of the other gateway's host. */
+        private final String name;
+
+        /** The request. */
+        private final ConfigurationRequest request;
+
+        /** Reads the reply. */
+        private final ReplyReader reader;
 
         /** Whether the core was told the end. */
         private boolean ended;
@@ -177,32 +289,27 @@
         /**
          * Creates a handler.
          *
-         * @param pull the decision
+         * @param name the name of the other gateway's host
+         * @param request the request
+         * @param reader reads the reply
          */
-        private ReplyHandler(Decision.PullConfiguration pull) {
-            this.pull = pull;
+        private ReplyHandler(String name, ConfigurationRequest request, ReplyReader reader) {
+            this.name = name;
+            this.request = request;
+            this.reader = reader;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            context.writeAndFlush(ConfigurationRequest.newBuilder()
-                    .setVersion(PeerCodec.VERSION)
-                    .setConfigurationDigest(PeerCodec.bytes(pull.digest()))
-                    .build());
+            context.writeAndFlush(request);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ConfigurationReply reply) {
             try {
-                String text =
-                        Deflation.inflate(reply.getDeflatedText().toByteArray(), PlatformProtocol.LARGEST_VALUE_BYTES);
-                ReadConfiguration read = new ConfigurationReader().read(pull.name(), text);
-                if (!read.printed().digest().equals(pull.digest())) {
-                    throw new PeerMessageException("digest " + read.printed().digest() + " was not announced");
-                }
-                end(new Event.ConfigurationRead(read, pull.name()));
+                end(reader.read(reply));
             } catch (PeerMessageException | DocumentException | ConfigurationException exception) {
-                end(new Event.PullFailed(pull.name(), exception.getMessage()));
+                end(new Event.PullFailed(name, exception.getMessage()));
             }
             context.close();
         }
@@ -221,12 +328,12 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            end(new Event.PullFailed(pull.name(), "the connection closed"));
+            end(new Event.PullFailed(name, "the connection closed"));
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            end(new Event.PullFailed(pull.name(), cause.toString()));
+            end(new Event.PullFailed(name, cause.toString()));
             context.close();
         }
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
@@ -6,14 +6,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.PeerMessageException;
@@ -46,7 +43,7 @@
     private final ConfigurationStream stream;
 
     /** The thread of the exchange. */
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group;
 
     /** The channel of datagrams, {@code null} before the start. */
     private volatile Channel channel;
@@ -58,8 +55,11 @@
      * @param codec prints and reads datagrams
      * @param driver the driver of the decision core
      * @param metrics counts what is exchanged
+     * @param group the threads that it runs on
      */
-    public PeerEndpoint(InetSocketAddress address, PeerCodec codec, CoreDriver driver, PeerMetrics metrics) {
+    public PeerEndpoint(
+            InetSocketAddress address, PeerCodec codec, CoreDriver driver, PeerMetrics metrics, EventLoopGroup group) {
+        this.group = group;
         this.address = address;
         this.codec = codec;
         this.driver = driver;
@@ -124,7 +124,10 @@
      * Stops to listen.
      */
     public void stop() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        if (channel != null) {
+            channel.close();
+        }
+        stream.stop();
     }
 
     /**
@@ -141,8 +144,13 @@
             ask.addresses().forEach(to -> send(question, to));
         } else if (decision instanceof Decision.ReplyKey reply) {
             send(codec.print(reply.reply()), reply.address());
+        } else if (decision instanceof Decision.TellFleet tell) {
+            byte[] digest = codec.print(tell.digest(), System.nanoTime());
+            tell.addresses().forEach(to -> send(digest, to));
         } else if (decision instanceof Decision.PullConfiguration pull) {
             stream.fetch(pull);
+        } else if (decision instanceof Decision.PullPublication pull) {
+            stream.fetch(pull);
         } else {
             return false;
         }
@@ -161,8 +169,7 @@
             return;
         }
         metrics.sent(datagram.length);
-        InetSocketAddress unresolved = BackendConnections.address(address);
-        InetSocketAddress to = new InetSocketAddress(unresolved.getHostString(), unresolved.getPort());
+        InetSocketAddress to = BackendConnections.resolved(address);
         channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to));
     }
 
@@ -177,7 +184,7 @@
             try {
                 InetSocketAddress sender = packet.sender();
                 String text = sender.getAddress().getHostAddress() + ":" + sender.getPort();
-                driver.handle(codec.read(datagram, text));
+                driver.handle(codec.read(datagram, text, System.nanoTime()));
             } catch (PeerMessageException exception) {
                 metrics.dropped();
                 LOGGER.debugf("datagram of %s was dropped: %s", packet.sender(), exception.getMessage());
