Write libraries' warnings as JSON lines, and lose no line at a stop

The queue of lines also lost the line that its writer had taken when a stop interrupted it while it gathered others.

Ruled out: the property that names a fallback, since it counts only where no provider is on the class path, which differs between the product's processes.

Change: the library is told to use the JDK's logging, whose handler writes one bounded JSON line. The writer writes what it holds before it ends.

LineQueueTest was not seen to fail before: it depends on where the writer stands.

--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/GatewayProcess.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/GatewayProcess.java
@@ -16,6 +16,7 @@
 import org.chivecourse.gateway.log.LineQueue;
 import org.chivecourse.gateway.settings.GatewaySettings;
 import org.chivecourse.gateway.settings.GatewaySettingsReader;
+import reactor.util.Loggers;
 import sun.misc.Signal;
 
 /** Runs a gateway as a process of its own: from its settings file to its last log line. */
@@ -40,12 +41,13 @@
     private GatewayProcess() {}
 
     /**
-     * Sets the properties of libraries; to be called before any of them is used.
+     * Sets the properties of libraries, and has them log through the JDK's logging; to be called before any is used.
      */
     public static void prepare() {
         System.setProperty("org.jboss.logging.provider", "jdk");
         System.setProperty("reactor.netty.native", "false");
         System.setProperty("io.netty.machineId", MACHINE_IDENTIFIER);
+        Loggers.useJdkLoggers();
     }
 
     /**
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/LineQueue.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/LineQueue.java
@@ -99,7 +99,7 @@
                 write(batch);
             }
         } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
+            write(batch);
         }
     }
 
@@ -142,7 +142,7 @@
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
-        if (!writer.isAlive()) {
+        if (!writer.isAlive() && !lines.isEmpty()) {
             write(new ArrayList<>());
         }
     }
--- /dev/null
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/log/LineQueueTest.java
@@ -0,0 +1,26 @@
+package org.chivecourse.gateway.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** The queue of log lines. */
+class LineQueueTest {
+
+    /** Longer than any write takes, in milliseconds. */
+    private static final long LONG = 10_000;
+
+    @Test
+    void linesThatWereAddedJustBeforeTheStopAreWritten() {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        LineQueue lines = new LineQueue(written);
+        lines.start();
+        lines.add("first");
+        lines.add("second");
+        lines.stop(LONG);
+        assertThat(written.toString(StandardCharsets.UTF_8), is("first\nsecond\n"));
+    }
+}
