Tell other gateways what was handed over, and expect what they send

Requests then stood four and more at a backend server, where all its work slows down.

Change: sightings tell how many requests were handed over since the last report; a gateway expects that the others send as often as itself, in equal parts to the backend servers with room, until they have told; own requests are set against a report by their times.

Three of the eight new cases of WorstLoadTest fail before (lookups at 220 and 300, bookings at 300), all pass after.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
@@ -56,6 +56,7 @@
         if (server == null) {
             return false;
         }
+        service.sends().sent(now);
         launch(call, server, call.attempts().isEmpty() ? "first" : "again", now, sink);
         return true;
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomes.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomes.java
@@ -83,6 +83,7 @@
             return;
         }
         attempt.proceed(now);
+        services.noteHanded(attempt.server(), now);
         ServiceState service = services.service(attempt.call().terms().service());
         if (service != null && attempt.call().terms().route().isEmpty()) {
             service.hedges().sent(attempt);
@@ -286,8 +287,10 @@
             services.leave(server.identity(), LeavingCause.REPLACED, revision, sink);
             return;
         }
-        if (answer.report() != null) {
+        if (answer.report() != null && answer.refused()) {
             services.noteLoad(server, answer.report(), now);
+        } else if (answer.report() != null) {
+            services.noteLoadOnAnswer(server, answer.report(), now);
         }
         if (answer.leaving()) {
             LeavingCause cause = answer.refused() ? LeavingCause.REFUSAL : LeavingCause.HEADER;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -46,6 +46,7 @@
                 service.work().nanoseconds(call.terms().route(), call.terms().targetNanoseconds());
         candidates.begin(service.servers(), service.reported().average(), usual, now);
         reserved = service.quarantine().reserved();
+        candidates.expect(service.othersPerNanosecond(now), service.servers(), server -> free(server, now));
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegister.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegister.java
@@ -152,6 +152,7 @@
                     server.condition().reachable();
                 }
             }
+            case HANDED -> server.othersHanded(sighting.requests(), sighting.seenAt());
             case FAILURE -> server.condition().failed(now);
             case UNREACHABLE -> server.condition().unreachable(now);
             case UNWELL -> server.condition().says(false, now);
@@ -163,7 +164,7 @@
     }
 
     /**
-     * Notes a load report that this host got itself.
+     * Notes a load report that a probe got.
      *
      * @param server the backend server
      * @param report the report
@@ -174,6 +175,31 @@
         note(server, SightingKind.LOAD, report, now);
     }
 
+    /**
+     * Notes a load report that stands on the answer to one of this host's requests and counts that request, which other
+     * hosts are not told of any more.
+     *
+     * @param server the backend server
+     * @param report the report
+     * @param now the time in nanoseconds
+     */
+    public void noteLoadOnAnswer(ServerState server, LoadReport report, long now) {
+        server.report(report, now);
+        note(server, SightingKind.LOAD, report.withoutAnswered(), now);
+    }
+
+    /**
+     * Notes that this host hands a request to a backend server.
+     *
+     * @param server the backend server
+     * @param now the time in nanoseconds
+     */
+    public void noteHanded(ServerState server, long now) {
+        if (settings.fleet().enabled()) {
+            sightings.add(Sighting.ofHanded(server.identity(), 1, now));
+        }
+    }
+
     /**
      * Notes that a backend server failed a request that this host had handed it.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -7,6 +7,7 @@
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.model.ServerMode;
 import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.choice.SendRate;
 import org.chivecourse.coordination.choice.UsualWork;
 import org.chivecourse.coordination.hedge.HedgeSchedule;
 import org.chivecourse.coordination.hedge.OpenAttempts;
@@ -57,6 +58,12 @@
     /** This host's share of the measuring budget. */
     private final ProbeBudget probes;
 
+    /** The rate at which this host sends requests. */
+    private final SendRate sends = new SendRate();
+
+    /** The number of hosts that may run gateways. */
+    private final IntSupplier hosts;
+
     /** The number of choices of a backend server. */
     private long turns;
 
@@ -78,6 +85,7 @@
             IntSupplier hosts,
             long now) {
         this.host = host;
+        this.hosts = hosts;
         this.service = service;
         probes = new ProbeBudget(host.expectedHosts(), now);
         waiting = new WaitingCalls(service.limits().queueLimit());
@@ -231,6 +239,26 @@
         return work;
     }
 
+    /**
+     * Returns the rate at which this host sends requests.
+     *
+     * @return the rate
+     */
+    SendRate sends() {
+        return sends;
+    }
+
+    /**
+     * Returns the rate at which other hosts are expected to send requests: each as often as this one, where hosts tell
+     * each other of what they see.
+     *
+     * @param now the time in nanoseconds
+     * @return the requests per nanosecond
+     */
+    double othersPerNanosecond(long now) {
+        return host.fleet().enabled() ? (hosts.getAsInt() - 1) * sends.perNanosecond(now) : 0;
+    }
+
     /**
      * Returns the suspects.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
@@ -19,6 +19,9 @@
     /** The average number of other hosts' requests at the service's backend servers. */
     private double othersOnAverage;
 
+    /** The requests of other hosts that are not known yet. */
+    private final UntoldRequests untold = new UntoldRequests();
+
     /** The time that the request takes on a backend server that works as usual, in nanoseconds. */
     private double usualNanoseconds;
 
@@ -36,6 +39,18 @@
         size = 0;
         now = time;
         othersOnAverage = othersAverage;
+        untold.none();
+    }
+
+    /**
+     * Expects that other hosts send to backend servers that have room as far as is known.
+     *
+     * @param othersPerNanosecond the requests of other hosts per nanosecond
+     * @param all the backend servers of the service
+     * @param room whether a backend server has room
+     */
+    public void expect(double othersPerNanosecond, List<ServerState> all, Predicate<ServerState> room) {
+        untold.expect(othersPerNanosecond, all, room);
     }
 
     /**
@@ -87,7 +102,8 @@
      * @return the time in nanoseconds
      */
     double finish(int index) {
-        return FinishEstimate.nanoseconds(servers[index], usualNanoseconds, othersOnAverage, now);
+        return FinishEstimate.nanoseconds(
+                servers[index], usualNanoseconds, presentInFlight(servers[index]), now);
     }
 
     /**
@@ -97,7 +113,7 @@
      * @return the number of requests
      */
     public double presentInFlight(ServerState server) {
-        return FinishEstimate.inFlight(server, othersOnAverage, now);
+        return FinishEstimate.inFlight(server, othersOnAverage, now) + untold.at(server, now);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/FinishEstimate.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/FinishEstimate.java
@@ -94,14 +94,14 @@
      *
      * @param server the backend server
      * @param usualNanoseconds the time that the request takes on a backend server that works as usual
-     * @param othersOnAverage the average number of other hosts' requests at the service's backend servers
+     * @param inFlight the estimated number of requests in flight at the backend server
      * @param now the time in nanoseconds
      * @return the time in nanoseconds
      */
-    public static double nanoseconds(ServerState server, double usualNanoseconds, double othersOnAverage, long now) {
+    public static double nanoseconds(ServerState server, double usualNanoseconds, double inFlight, long now) {
         ServerCondition condition = server.condition();
         double slots = server.server().slots();
-        double running = inFlight(server, othersOnAverage, now) + 1;
+        double running = inFlight + 1;
         double work = usualNanoseconds * slowness(server, now) * Math.max(1, condition.relative(now));
         if (server.cold(now)) {
             work *= COLD_FACTOR;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/SightingOutbox.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/SightingOutbox.java
@@ -1,11 +1,13 @@
 package org.chivecourse.coordination.fleet;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.Sighting;
+import org.chivecourse.state.fleet.SightingKind;
 
 /** What a gateway saw of backend servers and has not told others yet. */
 public final class SightingOutbox {
@@ -54,19 +56,32 @@
     }
 
     /**
-     * Puts a sighting in place of an older one of its kind.
+     * Puts a sighting in place of one of its kind, or together with it; a stated load also takes the place of what was
+     * handed over before.
      *
      * @param box the sightings by key
      * @param sighting the sighting
      */
     private static void put(Map<String, Sighting> box, Sighting sighting) {
-        String key = sighting.server() + sighting.kind().ordinal();
-        Sighting known = box.get(key);
-        if (known == null || sighting.seenAt() - known.seenAt() > 0) {
-            box.put(key, sighting);
+        box.merge(key(sighting.server(), sighting.kind()), sighting, sighting.kind()::merge);
+        if (sighting.kind() == SightingKind.LOAD) {
+            box.computeIfPresent(
+                    key(sighting.server(), SightingKind.HANDED),
+                    (key, handed) -> handed.seenAt() - sighting.seenAt() > 0 ? handed : null);
         }
     }
 
+    /**
+     * Returns the key of a sighting.
+     *
+     * @param server the identity of the backend server
+     * @param kind what was seen
+     * @return the key
+     */
+    private static String key(String server, SightingKind kind) {
+        return server + kind.ordinal();
+    }
+
     /**
      * Forgets the sightings for other data centres, which another gateway tells.
      */
@@ -97,7 +112,7 @@
     /**
      * Takes the sightings for the same data centre.
      *
-     * @return the sightings, the oldest first
+     * @return the sightings, loads first, since what was handed over counts after them
      */
     List<Sighting> pollNear() {
         return poll(near);
@@ -106,7 +121,7 @@
     /**
      * Takes the sightings for other data centres.
      *
-     * @return the sightings, the oldest first
+     * @return the sightings, loads first, since what was handed over counts after them
      */
     List<Sighting> pollFar() {
         return poll(far);
@@ -116,7 +131,7 @@
      * Takes sightings.
      *
      * @param box the sightings by key
-     * @return the sightings, the oldest first
+     * @return the sightings, loads first, since what was handed over counts after them
      */
     private static List<Sighting> poll(Map<String, Sighting> box) {
         List<Sighting> taken = new ArrayList<>();
@@ -125,6 +140,7 @@
             taken.add(iterator.next());
             iterator.remove();
         }
+        taken.sort(Comparator.comparing(Sighting::kind));
         return taken;
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -96,6 +96,8 @@
             message.setInFlight(sighting.report().inFlight())
                     .setSlots(sighting.report().slots())
                     .setSlownessPercent(sighting.report().slownessPercent());
+        } else if (sighting.kind() == SightingKind.HANDED) {
+            message.setInFlight(sighting.requests());
         }
         return message;
     }
@@ -193,10 +195,14 @@
                     + ", age " + age + " ms, " + message.getInFlight() + " in flight");
         }
         SightingKind kind = kinds[message.getKind()];
+        long seenAt = now - age * MILLISECOND;
+        if (kind == SightingKind.HANDED) {
+            return Sighting.ofHanded(checked(message.getServer()), message.getInFlight(), seenAt);
+        }
         LoadReport report = kind == SightingKind.LOAD
                 ? new LoadReport(message.getInFlight(), message.getSlots(), message.getSlownessPercent())
                 : null;
-        return new Sighting(checked(message.getServer()), kind, report, now - age * MILLISECOND);
+        return new Sighting(checked(message.getServer()), kind, report, seenAt);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/SightingKind.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/SightingKind.java
@@ -18,5 +18,25 @@
     REPLACED,
 
     /** It said on an answer that it leaves. */
-    LEAVING
+    LEAVING,
+
+    /** It was handed requests, which its next statement of its load will count. */
+    HANDED {
+        @Override
+        public Sighting merge(Sighting known, Sighting added) {
+            long latest = Math.max(known.seenAt(), added.seenAt());
+            return Sighting.ofHanded(added.server(), known.requests() + added.requests(), latest);
+        }
+    };
+
+    /**
+     * Returns what tells the same as two sightings of this kind.
+     *
+     * @param known a sighting
+     * @param added another sighting of the same backend server
+     * @return the newer one, or both together where each adds to what is known
+     */
+    public Sighting merge(Sighting known, Sighting added) {
+        return added.seenAt() - known.seenAt() > 0 ? added : known;
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/LoadReport.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/LoadReport.java
@@ -18,4 +18,13 @@
     public LoadReport(int inFlight, int slots) {
         this(inFlight, slots, 0);
     }
+
+    /**
+     * Returns the load without the request whose answer stated it, which has ended.
+     *
+     * @return the report
+     */
+    public LoadReport withoutAnswered() {
+        return new LoadReport(Math.max(0, inFlight - 1), slots, slownessPercent);
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/LongQueue.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/LongQueue.java
@@ -40,6 +40,20 @@
         size--;
     }
 
+    /**
+     * Returns the count of numbers that are not greater than another one.
+     *
+     * @param bound the other number
+     * @return the count
+     */
+    int upTo(long bound) {
+        int count = size;
+        while (count > 0 && numbers[count - 1] > bound) {
+            count--;
+        }
+        return count;
+    }
+
     /**
      * Returns the least number.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -51,17 +51,8 @@
     /** The number of times that the backend server was ejected since it last worked well. */
     private int ejections;
 
-    /** The number of other hosts' requests in the last report. */
-    private int othersInFlight;
-
-    /** The sum that the last report counts in, {@code null} for none. */
-    private ReportedTotal total;
-
-    /** The time of the last report. */
-    private long reportedAt;
-
-    /** Whether there was a report. */
-    private boolean reported;
+    /** What is known of other hosts' requests. */
+    private final ReportedLoad load = new ReportedLoad();
 
     /** The number of failures since the last success. */
     private int failuresInRow;
@@ -181,17 +172,21 @@
      * Records a report.
      *
      * @param report the report
-     * @param now the time
+     * @param at the time at which it was stated, this host's requests since then not being counted in it
      */
-    public void report(LoadReport report, long now) {
-        condition.slowness(report.slownessPercent(), now);
-        int others = Math.max(0, report.inFlight() - open.size());
-        if (total != null) {
-            total.add(others - othersInFlight);
-        }
-        othersInFlight = others;
-        reportedAt = now;
-        reported = true;
+    public void report(LoadReport report, long at) {
+        condition.slowness(report.slownessPercent(), at);
+        load.report(report.inFlight(), open.upTo(at), at);
+    }
+
+    /**
+     * Records that other hosts handed requests to the backend server.
+     *
+     * @param requests the number of requests
+     * @param at the time of the last one
+     */
+    public void othersHanded(int requests, long at) {
+        load.handed(requests, at);
     }
 
     /**
@@ -200,7 +195,7 @@
      * @param sum the sum
      */
     void countIn(ReportedTotal sum) {
-        total = sum;
+        load.countIn(sum);
     }
 
     /**
@@ -383,12 +378,12 @@
     }
 
     /**
-     * Returns the number of other hosts' requests in the last report.
+     * Returns the number of other hosts' requests in the last report and of those that they told of since.
      *
      * @return the number of requests
      */
     public int othersInFlight() {
-        return othersInFlight;
+        return load.others();
     }
 
     /**
@@ -397,7 +392,7 @@
      * @return {@code true} after the first report
      */
     public boolean reported() {
-        return reported;
+        return load.reported();
     }
 
     /**
@@ -406,7 +401,7 @@
      * @return the time
      */
     public long reportedAt() {
-        return reportedAt;
+        return load.reportedAt();
     }
 
     /**
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadModel.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadModel.java
@@ -25,10 +25,13 @@
 import org.chivecourse.coordination.measure.ProbeFinding;
 import org.chivecourse.coordination.publication.Publication;
 import org.chivecourse.coordination.publication.PublicationDecoder;
+import org.chivecourse.protocol.peer.PeerCodec;
+import org.chivecourse.protocol.peer.PeerMessageException;
+import org.chivecourse.protocol.peer.Seal;
 import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.RegisteredServer;
 
-/** One gateway before backend servers of one service, on virtual time: a load is replayed and each answer is timed. */
+/** Gateways before backend servers of one service, on virtual time: a load is replayed and each answer is timed. */
 final class LoadModel {
 
     static final long MILLISECOND = 1_000_000L;
@@ -37,11 +40,15 @@
 
     private static final long PROBE_MILLISECONDS = 100;
 
+    private static final long FLEET_TICK_MILLISECONDS = 20;
+
+    private static final int DATA_CENTRES = 3;
+
     private static final double WORK_MILLISECONDS = 120;
 
     private static final int SLOTS = 4;
 
-    private final HostCore core;
+    private final List<HostCore> cores = new ArrayList<>();
 
     private final Map<String, ModelServer> servers = new HashMap<>();
 
@@ -51,6 +58,10 @@
 
     private final Map<Long, Boolean> orders = new HashMap<>();
 
+    private final List<Delivery> underWay = new ArrayList<>();
+
+    private final PeerCodec codec = new PeerCodec(Seal.Disabled.INSTANCE);
+
     private final SplittableRandom random;
 
     private long now = 1_000;
@@ -61,21 +72,57 @@
 
     final Result bookings = new Result();
 
+    /** Creates a model of one gateway, to which each backend server's load is told by the model. */
     LoadModel(ChoicePolicy policy, int count, long seed) {
+        this(policy, 1, count, seed);
+    }
+
+    /** Creates a model of a fleet, whose gateways probe backend servers and tell each other what they see. */
+    LoadModel(ChoicePolicy policy, int gateways, int count, long seed) {
         random = new SplittableRandom(seed);
-        FleetSettings fleet = new FleetSettings(
-                "10.0.0.1:7000", List.of(), new FleetSettings.RepeatLimits(0.2, 56, 10_000 * MILLISECOND), 0);
-        HostSettings settings =
-                new HostSettings("host-1", "a", 1, true, 1, HostSettings.KeyLimits.DEFAULT, policy, 10_000, fleet);
-        core = new HostCore(settings, new SplittableRandom(seed), new Decoder());
         List<PublishedItem> items = new ArrayList<>();
         items.add(new PublishedItem("configuration", 1, new byte[0]));
         for (int number = 0; number < count; number++) {
             servers.put("i" + number, new ModelServer(SLOTS, seed * 100 + number));
             items.add(new PublishedItem("i" + number, 1, new byte[0]));
         }
-        handle(new Event.TimePassed());
-        handle(new Event.PublicationListed(1, items, 1));
+        for (int number = 0; number < gateways; number++) {
+            cores.add(core(policy, number, gateways, seed));
+        }
+        for (int number = 0; number < gateways; number++) {
+            handle(number, new Event.TimePassed());
+            handle(number, new Event.PublicationListed(1, items, 1));
+        }
+        if (gateways > 1) {
+            play(0, 1_000);
+        }
+    }
+
+    private static HostCore core(ChoicePolicy policy, int number, int gateways, long seed) {
+        FleetSettings fleet = new FleetSettings(
+                address(number),
+                gateways == 1 ? List.of() : List.of(address(0), address(1)),
+                new FleetSettings.RepeatLimits(0.2, 56, 10_000 * MILLISECOND),
+                gateways == 1 ? 0 : PROBE_MILLISECONDS * MILLISECOND);
+        HostSettings settings = new HostSettings(
+                "host-" + number,
+                dataCentre(number),
+                gateways,
+                true,
+                1,
+                HostSettings.KeyLimits.DEFAULT,
+                policy,
+                10_000,
+                fleet);
+        return new HostCore(settings, new SplittableRandom(seed * 1000 + number), new Decoder());
+    }
+
+    private static String address(int number) {
+        return "10.0.0." + (number + 1) + ":7000";
+    }
+
+    private static String dataCentre(int number) {
+        return "dc-" + number % DATA_CENTRES;
     }
 
     /** Lets callers come at random with a rate for a time; three in ten send an order. */
@@ -83,20 +130,40 @@
         for (long passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
             now += STEP_MILLISECONDS;
             work();
+            deliver();
             double expected = perSecond * STEP_MILLISECONDS / 1000;
             int arriving = (int) expected + (random.nextDouble() < expected - (int) expected ? 1 : 0);
             for (int count = 0; count < arriving; count++) {
                 arrive(random.nextDouble() < 0.3);
             }
-            if (now % PROBE_MILLISECONDS == 0) {
+            if (cores.size() == 1 && now % PROBE_MILLISECONDS == 0) {
                 probe();
             }
-            handle(new Event.TimePassed());
+            tick();
         }
     }
 
+    private void tick() {
+        if (cores.size() == 1) {
+            handle(0, new Event.TimePassed());
+            return;
+        }
+        for (int number = 0; number < cores.size(); number++) {
+            if ((now / STEP_MILLISECONDS + number) % (FLEET_TICK_MILLISECONDS / STEP_MILLISECONDS) == 0) {
+                handle(number, new Event.TimePassed());
+            }
+        }
+    }
+
+    private void deliver() {
+        List<Delivery> due = List.copyOf(underWay);
+        underWay.clear();
+        due.forEach(delivery -> handle(delivery.gateway, delivery.event));
+    }
+
     private void arrive(boolean order) {
         long call = ++calls;
+        int gateway = random.nextInt(cores.size());
         arrivals.put(call, now);
         orders.put(call, order);
         result(call).asked++;
@@ -110,7 +177,7 @@
                 -1,
                 call,
                 "h");
-        handle(new Event.CallArrived(call, arrival));
+        handle(gateway, new Event.CallArrived(call, arrival));
     }
 
     private Result result(long call) {
@@ -118,45 +185,86 @@
     }
 
     private void probe() {
-        servers.forEach((identity, server) ->
-                handle(new Event.ProbeEnded(identity, true, server.report(), 0, ProbeFinding.SERVING)));
+        servers.keySet().forEach(identity -> handle(0, probed(identity)));
+    }
+
+    private Event probed(String identity) {
+        return new Event.ProbeEnded(identity, true, servers.get(identity).report(), 0, ProbeFinding.SERVING);
     }
 
     private void work() {
         servers.forEach((identity, server) -> {
-            for (long attempt : server.work(now, STEP_MILLISECONDS)) {
-                handle(new Event.AnswerStarted(attempt, new Event.AnswerHead(200, false, false, server.report())));
+            for (Attempt attempt : server.work(now, STEP_MILLISECONDS)) {
+                handle(
+                        attempt.gateway(),
+                        new Event.AnswerStarted(
+                                attempt.number(), new Event.AnswerHead(200, false, false, server.reportOnAnswer())));
             }
         });
     }
 
-    private void handle(Event event) {
+    private void handle(int gateway, Event event) {
         List<Decision> decisions = new ArrayList<>();
-        core.handle(event, now * MILLISECOND, decisions::add);
-        decisions.forEach(this::perform);
+        cores.get(gateway).handle(event, now * MILLISECOND, decisions::add);
+        decisions.forEach(decision -> perform(gateway, decision));
     }
 
-    private void perform(Decision decision) {
+    private void perform(int gateway, Decision decision) {
         if (decision instanceof Decision.Send send) {
-            sends.put(send.attempt(), send);
-            handle(new Event.AttemptReady(send.attempt()));
+            sends.put(key(gateway, send.attempt()), send);
+            handle(gateway, new Event.AttemptReady(send.attempt()));
         } else if (decision instanceof Decision.Proceed proceed) {
-            Decision.Send send = sends.get(proceed.attempt());
-            double work = WORK_MILLISECONDS * (0.6 + 0.8 * random.nextDouble());
-            if (!servers.get(send.address()).take(send.attempt(), work)) {
-                handle(new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(503, true, false, null)));
-            }
+            proceed(gateway, sends.get(key(gateway, proceed.attempt())));
         } else if (decision instanceof Decision.Drop drop) {
-            servers.get(sends.get(drop.attempt()).address()).drop(drop.attempt());
+            Attempt attempt = new Attempt(gateway, drop.attempt());
+            servers.get(sends.get(key(gateway, drop.attempt())).address()).drop(attempt);
         } else if (decision instanceof Decision.Deliver deliver) {
             Result result = result(deliver.call());
             long taken = now - arrivals.get(deliver.call());
             result.inTarget += taken <= (orders.get(deliver.call()) ? 400 : 300) ? 1 : 0;
             result.served++;
-            handle(new Event.AnswerCompleted(deliver.attempt()));
+            handle(gateway, new Event.AnswerCompleted(deliver.attempt()));
+        } else if (decision instanceof Decision.TellFleet tell) {
+            tell.addresses().forEach(address -> tell(gateway, address, tell));
+        } else if (decision instanceof Decision.Probe probe) {
+            underWay.add(new Delivery(gateway, probed(probe.address())));
         }
     }
 
+    private static long key(int gateway, long attempt) {
+        return attempt * 1_000 + gateway;
+    }
+
+    private void proceed(int gateway, Decision.Send send) {
+        double work = WORK_MILLISECONDS * (0.6 + 0.8 * random.nextDouble());
+        ModelServer server = servers.get(send.address());
+        if (!server.take(new Attempt(gateway, send.attempt()), work)) {
+            handle(
+                    gateway,
+                    new Event.AnswerStarted(
+                            send.attempt(), new Event.AnswerHead(503, true, false, server.report())));
+        }
+    }
+
+    private void tell(int from, String address, Decision.TellFleet tell) {
+        for (int number = 0; number < cores.size(); number++) {
+            if (number != from && address(number).equals(address)) {
+                try {
+                    byte[] message = codec.print(tell.digest(), now * MILLISECOND);
+                    underWay.add(new Delivery(number, codec.read(message, "host-" + from, now * MILLISECOND)));
+                } catch (PeerMessageException exception) {
+                    throw new AssertionError(exception);
+                }
+            }
+        }
+    }
+
+    /** An event that reaches a gateway with the next step. */
+    private record Delivery(int gateway, Event event) {}
+
+    /** An attempt of one of the gateways. */
+    record Attempt(int gateway, long number) {}
+
     /** What callers of one kind got. */
     static final class Result {
 
@@ -175,13 +283,13 @@
         }
     }
 
-    private final class Decoder implements PublicationDecoder {
+    private static final class Decoder implements PublicationDecoder {
 
         @Override
         public Publication decode(PublishedItem item) {
             if (item.key().startsWith("i")) {
                 return new Publication.ForServer(
-                        new RegisteredServer(item.key(), 1, 1, "jobs", "10.0.0.9:80", "a", "v1", SLOTS, false, 0));
+                        new RegisteredServer(item.key(), 1, 1, "jobs", "10.0.0.9:80", dataCentre(item.key().charAt(item.key().length() - 1) - '0'), "v1", SLOTS, false, 0));
             }
             Configuration configuration = Configuration.revision(1)
                     .service(Service.named("jobs").discovery(Discovery.DEFAULT))
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/ModelServer.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/ModelServer.java
@@ -41,7 +41,7 @@
     }
 
     /** Takes a request, or refuses it because its queue is full. */
-    boolean take(long attempt, double workMilliseconds) {
+    boolean take(LoadModel.Attempt attempt, double workMilliseconds) {
         if (running.size() < slots) {
             running.add(new Run(attempt, workMilliseconds));
             return true;
@@ -53,19 +53,19 @@
         return true;
     }
 
-    void drop(long attempt) {
-        running.removeIf(run -> run.attempt == attempt);
-        waiting.removeIf(run -> run.attempt == attempt);
+    void drop(LoadModel.Attempt attempt) {
+        running.removeIf(run -> run.attempt.equals(attempt));
+        waiting.removeIf(run -> run.attempt.equals(attempt));
     }
 
     /** Works for a time and returns the attempts that ended. */
-    List<Long> work(long now, long milliseconds) {
+    List<LoadModel.Attempt> work(long now, long milliseconds) {
         if (now - drawnAt >= NOISE_MILLISECONDS) {
             drawnAt = now - random.nextLong(drawnAt < 0 ? NOISE_MILLISECONDS : 1);
             noise = random.nextDouble() < NOISE_SHARE ? NOISE_FACTOR : 1;
         }
         double factor = noise * (running.size() > KNEE_SHARE * slots ? KNEE_FACTOR : 1);
-        List<Long> ended = new ArrayList<>();
+        List<LoadModel.Attempt> ended = new ArrayList<>();
         Iterator<Run> iterator = running.iterator();
         while (iterator.hasNext()) {
             Run run = iterator.next();
@@ -85,13 +85,18 @@
         return new LoadReport(running.size() + waiting.size(), slots, (int) (100 * noise));
     }
 
+    /** Returns the load that an answer states, which counts the answered request. */
+    LoadReport reportOnAnswer() {
+        return new LoadReport(running.size() + waiting.size() + 1, slots, (int) (100 * noise));
+    }
+
     private static final class Run {
 
-        private final long attempt;
+        private final LoadModel.Attempt attempt;
 
         private double left;
 
-        private Run(long attempt, double left) {
+        private Run(LoadModel.Attempt attempt, double left) {
             this.attempt = attempt;
             this.left = left;
         }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/WorstLoadTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/WorstLoadTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThan;
 
+import java.util.function.ToDoubleFunction;
 import org.chivecourse.coordination.choice.ChoicePolicy;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +28,9 @@
     /** The share of late lookups that is left, against the choice by the number of own requests in flight. */
     private static final double LARGEST_REST = 0.6;
 
+    /** The least share of what one gateway that sees all serves in time that a fleet serves under the same load. */
+    private static final double LEAST_OF_FLEET = 0.7;
+
     private static double late(LoadModel model) {
         return 1 - model.lookups.inTargetShare();
     }
@@ -64,4 +68,31 @@
         LoadModel model = played(ChoicePolicy.EARLIEST_FINISH, seed, 400);
         assertThat(model.bookings.servedShare(), greaterThan(model.lookups.servedShare()));
     }
+
+    /** Plays several seeds with a load that lasts. */
+    private static double inTarget(int gateways, double perSecond, ToDoubleFunction<LoadModel> share) {
+        double sum = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            LoadModel model = new LoadModel(ChoicePolicy.EARLIEST_FINISH, gateways, SERVERS, seed);
+            model.play(perSecond, 8_000);
+            sum += share.applyAsDouble(model);
+        }
+        return sum / SEEDS;
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {75, 160, 220, 300})
+    void aFleetThatSharesItsBackendServersServesLookupsInTimeNearlyAsOneGatewayDoes(double perSecond) {
+        double alone = inTarget(1, perSecond, model -> model.lookups.inTargetShare());
+        double fleet = inTarget(13, perSecond, model -> model.lookups.inTargetShare());
+        assertThat(fleet, greaterThan(LEAST_OF_FLEET * alone));
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {75, 160, 220, 300})
+    void aFleetThatSharesItsBackendServersServesBookingsInTimeNearlyAsOneGatewayDoes(double perSecond) {
+        double alone = inTarget(1, perSecond, model -> model.bookings.inTargetShare());
+        double fleet = inTarget(13, perSecond, model -> model.bookings.inTargetShare());
+        assertThat(fleet, greaterThan(LEAST_OF_FLEET * alone));
+    }
 }
--- a/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
@@ -65,7 +65,8 @@
     void whatIsPrintedIsRead() throws Exception {
         List<Sighting> sightings = List.of(
                 new Sighting("i-1", SightingKind.LOAD, new LoadReport(3, 4, 400), NOW - 20 * MILLISECOND),
-                new Sighting("i-2", SightingKind.UNREACHABLE, null, NOW));
+                new Sighting("i-2", SightingKind.UNREACHABLE, null, NOW),
+                Sighting.ofHanded("i-3", 2, NOW - 5 * MILLISECOND));
         FleetDigest.Changes changes = new FleetDigest.Changes(4, 6, List.of(PublishedItem.removal("gone", 5)));
         FleetDigest digest = digest(3, sightings, changes);
         assertThat(read(codec.print(digest, NOW), NOW), equalTo(digest));
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/state/server/ServerStateTest.java
@@ -0,0 +1,61 @@
+package org.chivecourse.state.server;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.model.ServerMode;
+import org.junit.jupiter.api.Test;
+
+/** What a gateway takes for other gateways' requests at a backend server. */
+class ServerStateTest {
+
+    private final ServerState server =
+            new ServerState(new BackendServer("10.0.0.1:80", "dc-0", 4, 10, ServerMode.ACTIVE, "i-1"), 0, true);
+
+    @Test
+    void requestsOfThisHostThatAReportCountsAreNotOthers() {
+        server.begin(10);
+        server.report(new LoadReport(3, 4), 20);
+        assertThat(server.othersInFlight(), is(2));
+    }
+
+    @Test
+    void requestsOfThisHostThatAreNewerThanAReportAreNotTakenFromIt() {
+        server.begin(30);
+        server.report(new LoadReport(3, 4), 20);
+        assertThat(server.othersInFlight(), is(3));
+    }
+
+    @Test
+    void requestsThatOthersHandedOverSinceTheReportAreCounted() {
+        server.report(new LoadReport(1, 4), 20);
+        server.othersHanded(2, 25);
+        assertThat(server.othersInFlight(), is(3));
+    }
+
+    @Test
+    void requestsThatOthersHandedOverBeforeTheReportAreCountedInIt() {
+        server.report(new LoadReport(1, 4), 20);
+        server.othersHanded(2, 15);
+        assertThat(server.othersInFlight(), is(1));
+    }
+
+    @Test
+    void aReportTakesThePlaceOfWhatWasHandedOverBefore() {
+        server.report(new LoadReport(1, 4), 20);
+        server.othersHanded(2, 25);
+        server.report(new LoadReport(2, 4), 30);
+        assertThat(server.othersInFlight(), is(2));
+    }
+
+    @Test
+    void theSumOfAServiceFollowsWhatOthersHandOver() {
+        ReportedTotal total = new ReportedTotal();
+        total.of(List.of(server));
+        server.report(new LoadReport(1, 4), 20);
+        server.othersHanded(2, 25);
+        assertThat(total.average(), is(3.0));
+    }
+}
