--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
@@ -102,8 +102,7 @@
      * @return the time in nanoseconds
      */
     double finish(int index) {
-        return FinishEstimate.nanoseconds(
-                servers[index], usualNanoseconds, presentInFlight(servers[index]), now);
+        return FinishEstimate.nanoseconds(servers[index], usualNanoseconds, presentInFlight(servers[index]), now);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/UntoldRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/UntoldRequests.java
@@ -5,8 +5,8 @@
 import org.chivecourse.state.server.ServerState;
 
 /**
- * The estimate of the requests that other hosts have sent to a backend server since its last report and have not told of
- * yet.
+ * The estimate of the requests that other hosts have sent to a backend server since its last report and have not told
+ * of yet.
  *
  * <p>Hosts that see the same few backend servers with room would all send to them at the same moment; each therefore
  * expects the others to send as often as itself, in equal parts to the backend servers that have room.
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadModel.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadModel.java
@@ -241,8 +241,7 @@
         if (!server.take(new Attempt(gateway, send.attempt()), work)) {
             handle(
                     gateway,
-                    new Event.AnswerStarted(
-                            send.attempt(), new Event.AnswerHead(503, true, false, server.report())));
+                    new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(503, true, false, server.report())));
         }
     }
 
@@ -288,8 +287,17 @@
         @Override
         public Publication decode(PublishedItem item) {
             if (item.key().startsWith("i")) {
-                return new Publication.ForServer(
-                        new RegisteredServer(item.key(), 1, 1, "jobs", "10.0.0.9:80", dataCentre(item.key().charAt(item.key().length() - 1) - '0'), "v1", SLOTS, false, 0));
+                return new Publication.ForServer(new RegisteredServer(
+                        item.key(),
+                        1,
+                        1,
+                        "jobs",
+                        "10.0.0.9:80",
+                        dataCentre(item.key().charAt(item.key().length() - 1) - '0'),
+                        "v1",
+                        SLOTS,
+                        false,
+                        0));
             }
             Configuration configuration = Configuration.revision(1)
                     .service(Service.named("jobs").discovery(Discovery.DEFAULT))
