Let five gateways of a data centre speak for it, and tell near ones less often

Each gateway told its 41 neighbours 25 times a second and every gateway of the other data centres once a second, so that messages grew with the square of the fleet.

Ruled out: calls to the publisher (247 in 20 s). Not looked at: what digests hold, and the processor time of each kind of message.

Change: the first two and the last three gateways of a data centre, in the fixed order of watchers and relays, exchange digests with other data centres; where there are no more than five, all do, as before. They tell the size of their data centre, so that the bound on repeats is still divided by the whole fleet, and pass on changes and the time since the publisher answered. The pause between near digests grows with the number of near gateways.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
@@ -85,7 +85,8 @@
                 content.crashes(),
                 convictions(now),
                 content.changes(),
-                Math.max(neighbours.size(), neighbours.live(now).size() + 1));
+                neighbours.size(),
+                neighbours.dataCentreSize(now));
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -13,15 +13,21 @@
 /** Decides when which gateways get a digest. */
 final class DigestSchedule {
 
-    /** The least time between two digests to the gateways of the same data centre, in nanoseconds. */
+    /** The least time between two digests to the gateways of a data centre with few of them, in nanoseconds. */
     static final long NEAR_NANOSECONDS = 40_000_000L;
 
+    /** The number of other gateways of a data centre up to which they are told at the least time. */
+    private static final int FEW_NEAR = 8;
+
     /** The time between two digests to them while there is nothing to tell, in nanoseconds. */
     static final long QUIET_NANOSECONDS = 200_000_000L;
 
     /** The time between two digests to a gateway of another data centre, in nanoseconds. */
     static final long FAR_NANOSECONDS = 1_000_000_000L;
 
+    /** The time between two looks for gateways of other data centres that are to be told, in nanoseconds. */
+    private static final long FAR_LOOK_NANOSECONDS = 40_000_000L;
+
     /** The time between two words to other data centres of what was seen, in nanoseconds. */
     private static final long RELAY_NANOSECONDS = 50_000_000L;
 
@@ -58,6 +64,9 @@
     /** The time of the last digest to the same data centre, in nanoseconds. */
     private long nearAt;
 
+    /** The time of the last look for gateways of other data centres that are to be told, in nanoseconds. */
+    private long farLookedAt;
+
     /** The time of the last word to other data centres of what was seen, in nanoseconds. */
     private long relayedAt;
 
@@ -110,14 +119,15 @@
     }
 
     /**
-     * Asks seeds that are not heard for digests.
+     * Asks seeds that are not heard for digests; a gateway that does not speak hears of others from those that do.
      *
      * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
     private void askSeeds(long now, DecisionSink sink) {
         boolean eager = now - startedAt < EAGER_NANOSECONDS;
-        if (now - seedsAt < (eager ? EAGER_SEED_NANOSECONDS : FAR_NANOSECONDS)) {
+        if (now - seedsAt < (eager ? EAGER_SEED_NANOSECONDS : FAR_NANOSECONDS)
+                || !Speakers.INSTANCE.speaks(neighbours, now)) {
             return;
         }
         seedsAt = now;
@@ -138,7 +148,7 @@
      * @param sink receives the decisions that follow
      */
     private void tellNear(long now, DecisionSink sink) {
-        long pause = sightings.anyForNear() ? NEAR_NANOSECONDS : QUIET_NANOSECONDS;
+        long pause = sightings.anyForNear() ? nearPause(neighbours.near()) : QUIET_NANOSECONDS;
         if (now - nearAt < pause) {
             return;
         }
@@ -154,6 +164,17 @@
         }
     }
 
+    /**
+     * Returns the time between two digests to the gateways of the same data centre, which grows with their number so
+     * that the number of messages does not.
+     *
+     * @param others the number of other gateways of the data centre
+     * @return the time in nanoseconds
+     */
+    static long nearPause(int others) {
+        return NEAR_NANOSECONDS * Math.max(FEW_NEAR, others) / FEW_NEAR;
+    }
+
     /**
      * Tells all gateways at once of crashes of backend servers.
      *
@@ -169,16 +190,19 @@
     }
 
     /**
-     * Tells the gateways of other data centres whose turn it is.
+     * Tells the gateways of other data centres whose turn it is, if this one speaks for its data centre.
      *
      * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
     private void tellFar(long now, DecisionSink sink) {
+        if (now - farLookedAt < FAR_LOOK_NANOSECONDS || !Speakers.INSTANCE.speaks(neighbours, now)) {
+            return;
+        }
+        farLookedAt = now;
         List<Neighbour> due = new ArrayList<>();
-        for (Neighbour neighbour : neighbours.all()) {
-            boolean turn = !neighbours.near(neighbour) && neighbour.sinceTold(now) >= FAR_NANOSECONDS;
-            if (turn && worthTelling(neighbour, now)) {
+        for (Neighbour neighbour : Speakers.INSTANCE.listeners(neighbours, now)) {
+            if (neighbour.sinceTold(now) >= FAR_NANOSECONDS && worthTelling(neighbour, now)) {
                 due.add(neighbour);
             }
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -181,8 +181,8 @@
         if (digest.standing().answeredMilliseconds() >= 0) {
             published.outages().answered(now - digest.standing().answeredMilliseconds() * MILLISECOND);
         }
-        takeChanges(digest, now, sink);
         boolean near = neighbours.near(sender);
+        takeChanges(digest, near, now, sink);
         for (Sighting sighting : digest.sightings()) {
             services.seen(sighting, now, sink);
             if (near) {
@@ -202,13 +202,19 @@
      * Takes published items from a digest, and fetches those that are missing.
      *
      * @param digest the digest
+     * @param near whether its sender stands in the same data centre
      * @param now the time in nanoseconds
      * @param sink receives the decisions that follow
      */
-    private void takeChanges(FleetDigest digest, long now, DecisionSink sink) {
+    private void takeChanges(FleetDigest digest, boolean near, long now, DecisionSink sink) {
+        long before = published.revision();
         if (digest.changes() != null) {
             published.change(digest.changes(), digest.sender().name(), now, sink);
         }
+        if (!near && published.revision() > before && Speakers.INSTANCE.passOn(neighbours)) {
+            Content content = new Content(false, 0, List.of(), List.of(), digest.changes());
+            DigestSchedule.tell(neighbours.liveNear(now), digest(content, now), now, sink);
+        }
         boolean behind = digest.standing().revision() > published.revision();
         if (behind && now - pulledAt >= PULL_NANOSECONDS) {
             pulledAt = now;
@@ -315,7 +321,9 @@
                 published.revision(),
                 feed.reached(),
                 feed.reading() && feed.answeredRecently(now),
-                feed.answeredMilliseconds(now));
+                Speakers.INSTANCE.passOn(neighbours)
+                        ? published.outages().answeredMilliseconds(now)
+                        : feed.answeredMilliseconds(now));
         return composer.digest(content, standing, now);
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/Neighbours.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/Neighbours.java
@@ -18,6 +18,9 @@
     /** The time after which a silent gateway of the same data centre is not live, in nanoseconds. */
     static final long NEAR_SILENCE_NANOSECONDS = 700_000_000L;
 
+    /** The number of digests that a gateway of the same data centre may miss. */
+    private static final int MISSED_DIGESTS = 3;
+
     /** The time after which a silent gateway of another data centre is not live, in nanoseconds. */
     static final long FAR_SILENCE_NANOSECONDS = 3_500_000_000L;
 
@@ -42,6 +45,9 @@
     /** The time of the live gateways, in nanoseconds. */
     private long liveAt;
 
+    /** The number of remembered gateways of the same data centre. */
+    private int nearCount;
+
     /** The largest recent size of the fleet. */
     private int largestSize = 1;
 
@@ -69,7 +75,8 @@
         if (name.equals(self.name()) || all.size() >= LARGEST_SIZE && !all.containsKey(name)) {
             return null;
         }
-        Neighbour neighbour = all.computeIfAbsent(name, key -> new Neighbour(digest.sender(), now));
+        learn(digest.sender(), now);
+        Neighbour neighbour = all.get(name);
         if (!neighbour.hear(digest, now)) {
             return null;
         }
@@ -83,14 +90,17 @@
     }
 
     /**
-     * Takes word of a gateway from another one.
+     * Takes word of a gateway, from itself or from another one.
      *
      * @param member the gateway
      * @param now the time in nanoseconds
      */
     private void learn(Member member, long now) {
-        if (!member.name().equals(self.name()) && all.size() < LARGEST_SIZE) {
-            all.computeIfAbsent(member.name(), key -> new Neighbour(member, now));
+        boolean other = !member.name().equals(self.name());
+        if (other && all.size() < LARGEST_SIZE && !all.containsKey(member.name())) {
+            Neighbour neighbour = new Neighbour(member, now);
+            all.put(member.name(), neighbour);
+            nearCount += near(neighbour) ? 1 : 0;
         }
     }
 
@@ -114,7 +124,40 @@
      */
     void forget(long now) {
         all.values().removeIf(neighbour -> neighbour.silence(now) > FORGET_NANOSECONDS);
-        noteSize(live(now).size() + 1, now);
+        nearCount = (int) all.values().stream().filter(this::near).count();
+        noteSize(count(now), now);
+    }
+
+    /**
+     * Returns the number of live gateways, with those of other data centres that only their neighbours hear.
+     *
+     * @param now the time in nanoseconds
+     * @return the number, this gateway included
+     */
+    private int count(long now) {
+        Map<String, Integer> heard = new TreeMap<>();
+        Map<String, Integer> told = new TreeMap<>();
+        for (Neighbour neighbour : live(now)) {
+            String dataCentre = neighbour.member().dataCentre();
+            heard.merge(dataCentre, 1, Integer::sum);
+            told.merge(dataCentre, Math.min(neighbour.latest().dataCentreSize(), LARGEST_SIZE), Math::max);
+        }
+        heard.merge(self.dataCentre(), 1, Integer::sum);
+        int sum = 0;
+        for (Map.Entry<String, Integer> entry : heard.entrySet()) {
+            sum += Math.max(entry.getValue(), told.getOrDefault(entry.getKey(), 0));
+        }
+        return Math.min(sum, LARGEST_SIZE);
+    }
+
+    /**
+     * Returns the number of live gateways of this data centre.
+     *
+     * @param now the time in nanoseconds
+     * @return the number, this gateway included
+     */
+    int dataCentreSize(long now) {
+        return liveNear(now).size() + 1;
     }
 
     /**
@@ -125,10 +168,28 @@
      * @return {@code true} if it was heard recently and is not stopping
      */
     boolean live(Neighbour neighbour, long now) {
-        long longest = near(neighbour) ? NEAR_SILENCE_NANOSECONDS : FAR_SILENCE_NANOSECONDS;
+        long longest = near(neighbour) ? nearSilence() : FAR_SILENCE_NANOSECONDS;
         return neighbour.latest() != null && !neighbour.latest().stopping() && neighbour.silence(now) < longest;
     }
 
+    /**
+     * Returns the time after which a silent gateway of the same data centre is not live.
+     *
+     * @return the time in nanoseconds, longer where many gateways tell each other less often
+     */
+    private long nearSilence() {
+        return Math.max(NEAR_SILENCE_NANOSECONDS, MISSED_DIGESTS * DigestSchedule.nearPause(nearCount));
+    }
+
+    /**
+     * Returns the number of other gateways of the same data centre that are remembered.
+     *
+     * @return the number
+     */
+    int near() {
+        return nearCount;
+    }
+
     /**
      * Returns whether a gateway stands in the same data centre as this one.
      *
@@ -160,6 +221,16 @@
         return found;
     }
 
+    /**
+     * Returns the live gateways of the same data centre.
+     *
+     * @param now the time in nanoseconds
+     * @return the gateways in the order of their names
+     */
+    List<Neighbour> liveNear(long now) {
+        return live(now).stream().filter(this::near).toList();
+    }
+
     /**
      * Returns all gateways that are remembered.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/OutageWatch.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/OutageWatch.java
@@ -12,6 +12,9 @@
     private static final long OUTAGE_NANOSECONDS =
             PublicationFeed.WAIT_MILLISECONDS * 1_000_000L + PublicationFeed.CALL_NANOSECONDS;
 
+    /** The number of nanoseconds in a millisecond. */
+    private static final long MILLISECOND = 1_000_000L;
+
     /** The time of the last sign that the publisher answers some gateway, in nanoseconds. */
     private long answeredAt;
 
@@ -41,6 +44,16 @@
         answeredAt = at;
     }
 
+    /**
+     * Returns the time since the last sign that the publisher answers some gateway.
+     *
+     * @param now the time in nanoseconds
+     * @return the time in milliseconds, negative without a sign
+     */
+    public long answeredMilliseconds(long now) {
+        return known ? Math.max(0, now - answeredAt) / MILLISECOND : -1;
+    }
+
     /**
      * Returns until when a backend server is kept whose announcement ends now.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -55,7 +55,8 @@
                 .setPublisherReached(digest.standing().reached())
                 .setWatching(digest.standing().watching())
                 .setAnsweredMilliseconds(digest.standing().answeredMilliseconds())
-                .setFleetSize(digest.fleetSize());
+                .setFleetSize(digest.fleetSize())
+                .setDataCentreSize(digest.dataCentreSize());
         for (Member member : digest.members()) {
             message.addMembers(MemberMessage.newBuilder()
                     .setName(member.name())
@@ -169,7 +170,8 @@
                 crashes,
                 convictions,
                 message.hasChanges() ? read(message.getChanges()) : null,
-                message.getFleetSize());
+                message.getFleetSize(),
+                message.getDataCentreSize());
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -18,7 +18,8 @@
  * @param crashes the requests whose runs coincided with failures of backend servers
  * @param convictions the fingerprints of requests that are refused, with the seconds for which they are
  * @param changes published items, {@code null} if it tells none
- * @param fleetSize the number of gateways that it knows, itself included
+ * @param fleetSize the number of gateways that it knows of, itself included
+ * @param dataCentreSize the number of live gateways of its data centre, itself included
  */
 public record FleetDigest(
         Member sender,
@@ -32,7 +33,8 @@
         List<Crash> crashes,
         Map<Long, Integer> convictions,
         Changes changes,
-        int fleetSize) {
+        int fleetSize,
+        int dataCentreSize) {
 
     /**
      * Creates a digest whose lists are copied.
@@ -50,7 +52,8 @@
      * @param revision the revision up to which it knows the published items
      * @param reached whether the publisher answers it
      * @param watching whether it watches the publisher
-     * @param answeredMilliseconds the time since the publisher last answered it, negative if it never has
+     * @param answeredMilliseconds the time since the publisher last answered it, or another one for which it passes
+     *     this on, negative if it never has
      */
     public record Standing(long revision, boolean reached, boolean watching, long answeredMilliseconds) {}
 
--- a/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
@@ -54,7 +54,8 @@
                 crashes,
                 convictions,
                 changes,
-                140);
+                140,
+                42);
     }
 
     private FleetDigest read(byte[] datagram, long now) throws PeerMessageException {
@@ -119,6 +120,7 @@
                 List.of(),
                 Map.of(),
                 null,
+                1,
                 1);
         byte[] datagram = codec.print(nameless, NOW);
         assertThrows(PeerMessageException.class, () -> codec.read(datagram, "sender", NOW));
