--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/Speakers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/Speakers.java
@@ -6,9 +6,9 @@
 import java.util.TreeMap;
 
 /**
- * Decides without agreement which gateways of a data centre exchange digests with other data centres, so that the number
- * of such digests does not grow with the square of the number of gateways: the first and the last few in the fixed
- * order, among which are those that watch the publisher and the one that tells what was seen.
+ * Decides without agreement which gateways of a data centre exchange digests with other data centres, so that the
+ * number of such digests does not grow with the square of the number of gateways: the first and the last few in the
+ * fixed order, among which are those that watch the publisher and the one that tells what was seen.
  */
 enum Speakers {
     /** The only instance. */
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -12,7 +12,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Clock;
-import java.time.Duration;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.chivecourse.configuration.model.Configuration;
@@ -20,7 +19,6 @@
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
-import org.chivecourse.coordination.host.FleetSettings;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.gateway.audit.AuditTrail;
@@ -41,7 +39,6 @@
 import org.chivecourse.transport.http.CallerListener;
 import org.chivecourse.transport.http.ExchangeMetrics;
 import org.chivecourse.transport.http.ExchangeRegister;
-import org.chivecourse.transport.http.HttpSettings;
 import org.chivecourse.transport.http.ServerLooks;
 import org.chivecourse.transport.peer.PeerEndpoint;
 import org.chivecourse.transport.peer.PeerMetrics;
@@ -60,9 +57,6 @@
     /** The time between two ticks of a gateway whose backend servers announce themselves, in nanoseconds. */
     private static final long FLEET_TICK_NANOSECONDS = 20_000_000L;
 
-    /** The number of lives that are told apart within a millisecond. */
-    private static final long LIVES_PER_MILLISECOND = 1000;
-
     /** The settings. */
     private final GatewaySettings settings;
 
@@ -153,18 +147,15 @@
         LoopResources loops = useNative -> group;
         pauses = new Pauses(clock, System.nanoTime());
         audit = new AuditTrail(settings.name(), clock, environment.log());
-        HostSettings host = hostSettings(settings, seed, clock);
+        HostSettings host = SettingsTranslation.host(settings, seed, clock);
         recorder = new TraceRecorder(host, seed, settings.traceSteps());
         driver = new CoreDriver(new HostCore(host, new SplittableRandom(seed), environment.decoder()), recorder);
-        connections =
-                new BackendConnections(settings.expectedHosts(), httpSettings(settings), backendTls::context, loops);
+        connections = new BackendConnections(
+                settings.expectedHosts(), SettingsTranslation.http(settings), backendTls::context, loops);
         MetricRegistry metrics = new MetricRegistry();
         exchanges = new ExchangeRegister(
                 driver, connections, new ExchangeMetrics(metrics), environment.dialect(), environment.log());
-        Duration probeTimeout = settings.fleet() == null
-                ? ServerLooks.TIMEOUT
-                : settings.fleet().connectTimeout().multipliedBy(2);
-        looks = new ServerLooks(driver, connections, environment.dialect(), probeTimeout);
+        looks = new ServerLooks(driver, connections, environment.dialect(), SettingsTranslation.probeTimeout(settings));
         callers = new CallerListener(
                 listening(settings.callers().address()), settings.http(), callerTls::context, driver, exchanges, loops);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::open);
@@ -181,57 +172,6 @@
         driver.perform(this::perform);
     }
 
-    /**
-     * Returns what the decision core knows of its host.
-     *
-     * @param settings the settings
-     * @param seed tells lives of the same millisecond apart
-     * @param clock tells the time
-     * @return the settings of the core
-     */
-    private static HostSettings hostSettings(GatewaySettings settings, long seed, Clock clock) {
-        FleetSettings fleet = settings.fleet() == null
-                ? FleetSettings.NONE
-                : new FleetSettings(
-                        settings.peers().address(),
-                        settings.fleet().seeds(),
-                        settings.fleet().repeats(),
-                        settings.fleet().probeInterval().toNanos());
-        return new HostSettings(
-                settings.name(),
-                settings.dataCentre(),
-                settings.expectedHosts(),
-                settings.peers() != null,
-                incarnation(clock, seed),
-                settings.keys(),
-                settings.choice(),
-                settings.largestCalls(),
-                fleet);
-    }
-
-    /**
-     * Returns the bounds on connections, with the shorter time to connect where backend servers announce themselves.
-     *
-     * @param settings the settings
-     * @return the bounds
-     */
-    private static HttpSettings httpSettings(GatewaySettings settings) {
-        return settings.fleet() == null
-                ? settings.http()
-                : settings.http().connectTimeout(settings.fleet().connectTimeout());
-    }
-
-    /**
-     * Returns the number of this life, which is higher than those of earlier ones on the same host.
-     *
-     * @param clock tells the time
-     * @param seed tells lives of the same millisecond apart
-     * @return the number
-     */
-    private static long incarnation(Clock clock, long seed) {
-        return clock.millis() * LIVES_PER_MILLISECOND + Math.floorMod(seed, LIVES_PER_MILLISECOND);
-    }
-
     /**
      * Returns the exchange with other gateways.
      *
