Halve the digests of large data centres, and probe no more often than they go

Change: the pause between near digests grows from four near gateways on, in place of eight; the probe interval is no shorter than that pause. Fleets with up to five gateways a data centre are as before.

Before and after: theProbesOfALargeFleetDoNotGrowWithItsGateways fails (612 probes against 546) and passes.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -17,7 +17,7 @@
     static final long NEAR_NANOSECONDS = 40_000_000L;
 
     /** The number of other gateways of a data centre up to which they are told at the least time. */
-    private static final int FEW_NEAR = 8;
+    private static final int FEW_NEAR = 4;
 
     /** The time between two digests to them while there is nothing to tell, in nanoseconds. */
     static final long QUIET_NANOSECONDS = 200_000_000L;
@@ -148,7 +148,7 @@
      * @param sink receives the decisions that follow
      */
     private void tellNear(long now, DecisionSink sink) {
-        long pause = sightings.anyForNear() ? nearPause(neighbours.near()) : QUIET_NANOSECONDS;
+        long pause = sightings.anyForNear() ? neighbours.nearPauseNanoseconds() : QUIET_NANOSECONDS;
         if (now - nearAt < pause) {
             return;
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/Neighbours.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/Neighbours.java
@@ -172,13 +172,22 @@
         return neighbour.latest() != null && !neighbour.latest().stopping() && neighbour.silence(now) < longest;
     }
 
+    /**
+     * Returns the time between two digests to the gateways of the same data centre while there is something to tell.
+     *
+     * @return the time in nanoseconds
+     */
+    public long nearPauseNanoseconds() {
+        return DigestSchedule.nearPause(nearCount);
+    }
+
     /**
      * Returns the time after which a silent gateway of the same data centre is not live.
      *
      * @return the time in nanoseconds, longer where many gateways tell each other less often
      */
     private long nearSilence() {
-        return Math.max(NEAR_SILENCE_NANOSECONDS, MISSED_DIGESTS * DigestSchedule.nearPause(nearCount));
+        return Math.max(NEAR_SILENCE_NANOSECONDS, MISSED_DIGESTS * nearPauseNanoseconds());
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
@@ -20,7 +20,7 @@
  * The probes of a fleet that finds itself: the gateways of a data centre divide its backend servers, and those of data
  * centres without live gateways, among themselves, and tell all gateways what they see.
  *
- * <p>A backend server is not probed while other sightings of it are fresh.
+ * <p>A backend server is not probed while other sightings of it are fresh, nor more often than word of it spreads.
  */
 public final class AssignedProbes {
 
@@ -75,10 +75,10 @@
             dividedAt = now;
             divide(now);
         }
+        long interval = Math.max(settings.fleet().probeNanoseconds(), neighbours.nearPauseNanoseconds());
         for (Assigned one : assigned) {
             ServerState server = one.server();
-            boolean fresh = server.reported()
-                    && now - server.reportedAt() < settings.fleet().probeNanoseconds();
+            boolean fresh = server.reported() && now - server.reportedAt() < interval;
             if (!fresh && server.leaving() == LeavingCause.NONE && mayStart(server.identity(), now)) {
                 open.put(server.identity(), now);
                 sink.decide(new Decision.Probe(server.identity(), one.path()));
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadModel.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadModel.java
@@ -72,6 +72,8 @@
 
     final Result bookings = new Result();
 
+    int probes;
+
     /** Creates a model of one gateway, to which each backend server's load is told by the model. */
     LoadModel(ChoicePolicy policy, int count, long seed) {
         this(policy, 1, count, seed);
@@ -227,6 +229,7 @@
         } else if (decision instanceof Decision.TellFleet tell) {
             tell.addresses().forEach(address -> tell(gateway, address, tell));
         } else if (decision instanceof Decision.Probe probe) {
+            probes++;
             underWay.add(new Delivery(gateway, probed(probe.address())));
         }
     }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/WorstLoadTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/WorstLoadTest.java
@@ -95,4 +95,13 @@
         double fleet = inTarget(13, perSecond, model -> model.bookings.inTargetShare());
         assertThat(fleet, greaterThan(LEAST_OF_FLEET * alone));
     }
+
+    @Test
+    void theProbesOfALargeFleetDoNotGrowWithItsGateways() {
+        LoadModel small = new LoadModel(ChoicePolicy.EARLIEST_FINISH, 13, SERVERS, 1);
+        LoadModel large = new LoadModel(ChoicePolicy.EARLIEST_FINISH, 60, SERVERS, 1);
+        small.play(0, 4_000);
+        large.play(0, 4_000);
+        assertThat(large.probes, lessThan(small.probes));
+    }
 }
