Have one gateway of a large data centre pass changes on

Cause: each of the five that speak for a data centre passed a change from another one on to all others, five times the same. Seen in reading the change. Change: only the one that relays sightings does; whoever misses it fetches it. The estimate of others' requests is left out where gateways tell each other nothing.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/UntoldRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/UntoldRequests.java
@@ -38,6 +38,9 @@
      */
     void expect(double othersPerNanosecond, List<ServerState> servers, Predicate<ServerState> room) {
         perNanosecond = 0;
+        if (othersPerNanosecond == 0) {
+            return;
+        }
         int count = 0;
         for (ServerState server : servers) {
             if (room.test(server)) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -211,7 +211,8 @@
         if (digest.changes() != null) {
             published.change(digest.changes(), digest.sender().name(), now, sink);
         }
-        if (!near && published.revision() > before && Speakers.INSTANCE.passOn(neighbours)) {
+        boolean passOn = Speakers.INSTANCE.passOn(neighbours) && RelayElection.INSTANCE.relays(neighbours, now);
+        if (!near && published.revision() > before && passOn) {
             Content content = new Content(false, 0, List.of(), List.of(), digest.changes());
             DigestSchedule.tell(neighbours.liveNear(now), digest(content, now), now, sink);
         }
