--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -35,14 +35,6 @@
         return network;
     }
 
-    private static int knowing(FleetNetwork network, long revision) {
-        int count = 0;
-        for (HostCore core : network.cores()) {
-            count += core.published().revision() >= revision ? 1 : 0;
-        }
-        return count;
-    }
-
     @Nested
     class Finding {
 
@@ -86,7 +78,7 @@
             FleetNetwork network = running();
             long revision = network.publish(FleetNetwork.configuration(2, 0));
             network.pass(250);
-            assertThat(knowing(network, revision), equalTo(HOSTS));
+            assertThat(network.knowing(revision), equalTo(HOSTS));
         }
 
         @Test
@@ -106,7 +98,7 @@
             network.pass(6000);
             long revision = network.publish(TextDecoder.server("i1", 0, "leaving"));
             network.pass(500);
-            assertThat(knowing(network, revision), equalTo(HOSTS));
+            assertThat(network.knowing(revision), equalTo(HOSTS));
         }
 
         @Test
@@ -128,7 +120,7 @@
                 network.kill((first + 5) % HOSTS);
                 long revision = network.publish(TextDecoder.server("i1", 0, "leaving"));
                 network.pass(1500);
-                assertThat("after the loss from " + first, knowing(network, revision), equalTo(HOSTS - 3));
+                assertThat("after the loss from " + first, network.knowing(revision), equalTo(HOSTS - 3));
             }
         }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -255,6 +255,15 @@
         return null;
     }
 
+    /** Counts the gateways that know the published items up to a revision. */
+    int knowing(long revision) {
+        int count = 0;
+        for (HostCore core : cores.values()) {
+            count += core.published().revision() >= revision ? 1 : 0;
+        }
+        return count;
+    }
+
     HostCore core(int number) {
         return cores.get(name(number));
     }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LargeFleetTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LargeFleetTest.java
@@ -27,14 +27,6 @@
         return network;
     }
 
-    private static int knowing(FleetNetwork network, long revision) {
-        int count = 0;
-        for (HostCore core : network.cores()) {
-            count += core.published().revision() >= revision ? 1 : 0;
-        }
-        return count;
-    }
-
     /** Counts the digests that cross from one data centre to another within two seconds, for each gateway. */
     private static double crossing(int hosts) {
         FleetNetwork network = running(hosts);
@@ -103,7 +95,7 @@
         FleetNetwork network = running(HOSTS);
         long revision = network.publish(FleetNetwork.configuration(2, 0));
         network.pass(500);
-        assertThat(knowing(network, revision), equalTo(HOSTS));
+        assertThat(network.knowing(revision), equalTo(HOSTS));
     }
 
     @Test
@@ -122,7 +114,7 @@
         network.pass(4000);
         long revision = network.publish(FleetNetwork.configuration(2, 0));
         network.pass(1000);
-        assertThat(knowing(network, revision), equalTo(HOSTS - killed.size()));
+        assertThat(network.knowing(revision), equalTo(HOSTS - killed.size()));
     }
 
     @Test
@@ -138,6 +130,6 @@
         network.pass(3000);
         long revision = network.publish(FleetNetwork.configuration(2, 0));
         network.pass(500);
-        assertThat(knowing(network, revision), equalTo(HOSTS));
+        assertThat(network.knowing(revision), equalTo(HOSTS));
     }
 }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/WorstLoadTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/WorstLoadTest.java
@@ -80,20 +80,22 @@
         return sum / SEEDS;
     }
 
+    private static void assertNearlyAsOneGateway(double perSecond, ToDoubleFunction<LoadModel> share) {
+        double alone = inTarget(1, perSecond, share);
+        double fleet = inTarget(13, perSecond, share);
+        assertThat(fleet, greaterThan(LEAST_OF_FLEET * alone));
+    }
+
     @ParameterizedTest
     @ValueSource(doubles = {75, 160, 220, 300})
     void aFleetThatSharesItsBackendServersServesLookupsInTimeNearlyAsOneGatewayDoes(double perSecond) {
-        double alone = inTarget(1, perSecond, model -> model.lookups.inTargetShare());
-        double fleet = inTarget(13, perSecond, model -> model.lookups.inTargetShare());
-        assertThat(fleet, greaterThan(LEAST_OF_FLEET * alone));
+        assertNearlyAsOneGateway(perSecond, model -> model.lookups.inTargetShare());
     }
 
     @ParameterizedTest
     @ValueSource(doubles = {75, 160, 220, 300})
     void aFleetThatSharesItsBackendServersServesBookingsInTimeNearlyAsOneGatewayDoes(double perSecond) {
-        double alone = inTarget(1, perSecond, model -> model.bookings.inTargetShare());
-        double fleet = inTarget(13, perSecond, model -> model.bookings.inTargetShare());
-        assertThat(fleet, greaterThan(LEAST_OF_FLEET * alone));
+        assertNearlyAsOneGateway(perSecond, model -> model.bookings.inTargetShare());
     }
 
     @Test
