--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -27,6 +27,9 @@
 
     private static final int HOSTS = 13;
 
+    /** The time within which a backend server that leaves gets no new request, as the platform states it. */
+    private static final long DRAIN_MILLISECONDS = 2000;
+
     private static FleetNetwork running() {
         FleetNetwork network = new FleetNetwork(HOSTS);
         network.publish(TextDecoder.server("i1", 0, "ready"));
@@ -298,6 +301,28 @@
             }
         }
 
+        @Test
+        void anEntryThatIsWithdrawnWhileAThirdOfTheGatewaysIsCutOffIsGoneWithinADrainsBound() {
+            for (int first = 0; first < HOSTS; first++) {
+                for (int step = 1; step < HOSTS; step++) {
+                    FleetNetwork network = running();
+                    List<Integer> cut = new ArrayList<>();
+                    for (int count = 0; count < HOSTS / 3; count++) {
+                        cut.add((first + count * step) % HOSTS);
+                    }
+                    cut.forEach(number -> network.cutFromPublisher(number, true));
+                    cut.forEach(number -> network.cutFromOthers(number, true));
+                    network.pass(200);
+                    network.publish(new PublishedItem("server i1", 0, null));
+                    network.pass(DRAIN_MILLISECONDS);
+                    for (int number = 0; number < HOSTS; number++) {
+                        boolean gone = network.core(number).services().server("i1") == null;
+                        assertThat("host " + number, gone || cut.contains(number), equalTo(true));
+                    }
+                }
+            }
+        }
+
         @Test
         void anEntryThatIsWithdrawnInCalmTimeIsGoneAtOnce() {
             FleetNetwork network = running();
