--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -6,6 +6,7 @@
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.ejection.Ejection;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.poison.FailureFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.state.call.AttemptState;
 import org.chivecourse.state.call.CallPhase;
@@ -224,7 +225,11 @@
         ServiceState service = services.service(terms.service());
         boolean alone = service != null && service.quarantine().runsAlone(attempt);
         services.recordCrash(terms.fingerprint(), attempt.server());
-        if (poisonRequests.recordFailure(terms.fingerprint(), attempt.server().identity(), alone, now)) {
+        FailureFinding finding = poisonRequests.recordFailure(
+                terms.fingerprint(), attempt.server().identity(), alone, now);
+        long revision = services.configuration().revision();
+        services.auditFailure(finding, terms.fingerprint(), attempt.server().identity(), sink);
+        if (finding == FailureFinding.BLOCKED) {
             String name = terms.method() + " " + terms.path() + " " + Long.toHexString(terms.fingerprint());
             sink.decide(new Decision.Audit(new Decision.Change(
                     Decision.Subject.REQUEST_CONVICTED,
@@ -233,7 +238,7 @@
                     "convicted",
                     "crashes of backend servers coincided with it, last "
                             + attempt.server().identity(),
-                    services.configuration().revision())));
+                    revision)));
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -17,6 +17,7 @@
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.fleet.ObservationOutbox;
 import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.coordination.poison.FailureFinding;
 import org.chivecourse.coordination.registry.ServerRegistry;
 import org.chivecourse.coordination.route.RouteTable;
 import org.chivecourse.state.fleet.Crash;
@@ -199,6 +200,16 @@
         }
     }
 
+    /**
+     * Audits what a failure of a backend server that this host observed means for a request, if this host belongs to a
+     * fleet that exchanges such failures.
+     */
+    void auditFailure(FailureFinding finding, long fingerprint, String server, DecisionSink sink) {
+        if (settings.fleet().enabled()) {
+            finding.audit(fingerprint, server, settings.name(), configuration.revision(), sink);
+        }
+    }
+
     /**
      * Queues an observation for other hosts if this host belongs to a fleet that exchanges them.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -284,6 +284,9 @@
         /** A published item that cannot be decoded. */
         PUBLISHED_ITEM,
 
+        /** A failure of a backend server that a request coincided with. */
+        REQUEST_SUSPECTED,
+
         /** Whether a request is blocked because it crashes backend servers. */
         REQUEST_CONVICTED
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -7,6 +7,7 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.fleet.DigestComposer.Content;
 import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.coordination.poison.FailureFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.coordination.publication.PublicationPoller;
 import org.chivecourse.coordination.publication.PublishedState;
@@ -210,11 +211,40 @@
             }
         }
         for (Crash crash : digest.crashes()) {
-            poisonRequests.recordFailure(crash.fingerprint(), crash.server(), true, now);
+            FailureFinding finding = poisonRequests.recordFailure(crash.fingerprint(), crash.server(), true, now);
+            finding.audit(crash.fingerprint(), crash.server(), sender.member().name(), revision(), sink);
         }
         digest.blockedRequests()
                 .forEach((fingerprint, seconds) ->
-                        poisonRequests.block(fingerprint, now + seconds * NANOSECONDS_PER_SECOND, now));
+                        block(fingerprint, seconds, sender.member().name(), now, sink));
+    }
+
+    /**
+     * Blocks a request that another gateway reported as blocked, and audits this if it was not blocked before.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @param seconds the remaining time of the block
+     * @param source the name of the other gateway's host
+     * @param now the current time in nanoseconds
+     * @param sink receives the audit record
+     */
+    private void block(long fingerprint, int seconds, String source, long now, DecisionSink sink) {
+        boolean blockedBefore = poisonRequests.blocked(fingerprint, now);
+        poisonRequests.block(fingerprint, now + seconds * NANOSECONDS_PER_SECOND, now);
+        if (!blockedBefore) {
+            sink.decide(new Decision.Audit(new Decision.Change(
+                    Decision.Subject.REQUEST_CONVICTED,
+                    Long.toHexString(fingerprint),
+                    "suspected",
+                    "convicted",
+                    "reported by " + source,
+                    revision())));
+        }
+    }
+
+    /** Returns the revision of the configuration in force. */
+    private long revision() {
+        return services.configuration().revision();
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -44,22 +44,22 @@
     private final Deque<Failure> failures = new ArrayDeque<>();
 
     /**
-     * Records that a backend server lost the connection of a request before its answer. Returns whether the request
-     * becomes blocked by this.
+     * Records that a backend server lost the connection of a request before its answer.
      *
      * @param server the identity of the backend server
      * @param alone whether no other request of this host was in flight there
+     * @return what the failure means for the request
      */
-    public boolean recordFailure(long fingerprint, String server, boolean alone, long now) {
+    public FailureFinding recordFailure(long fingerprint, String server, boolean alone, long now) {
         removeExpired(now);
         failures.addLast(new Failure(server, fingerprint, now));
         Suspicion suspicion = suspicions.computeIfAbsent(fingerprint, key -> new Suspicion());
         if (suspicion.blockedUntil != 0) {
-            return false;
+            return FailureFinding.BLOCKED_BEFORE;
         }
         suspicion.lastFailureAt = now;
         if (otherServersFailing(fingerprint, server) >= MASS_FAILURE_SERVERS) {
-            return false;
+            return FailureFinding.EXCUSED;
         }
         suspicion.servers.add(server);
         suspicion.aloneFailures += alone ? 1 : 0;
@@ -68,7 +68,7 @@
         if (blocked) {
             suspicion.blockedUntil = now + BLOCK_NANOSECONDS;
         }
-        return blocked;
+        return blocked ? FailureFinding.BLOCKED : FailureFinding.COUNTED;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallLog.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallLog.java
@@ -9,9 +9,10 @@
      * Logs that an attempt starts.
      *
      * @param requestIdentifier the identifier that the caller gave the request, empty if it gave none
+     * @param fingerprint the fingerprint of the request, which duplicates share
      * @param send the decision that starts the attempt
      */
-    void logSent(String requestIdentifier, Decision.Send send);
+    void logSent(String requestIdentifier, long fingerprint, Decision.Send send);
 
     /**
      * Logs that an attempt ended without an answer that can be forwarded.
@@ -58,7 +59,7 @@
         INSTANCE;
 
         @Override
-        public void logSent(String requestIdentifier, Decision.Send send) {
+        public void logSent(String requestIdentifier, long fingerprint, Decision.Send send) {
             // Logging is disabled.
         }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -127,6 +127,11 @@
         return request.identifier();
     }
 
+    /** Returns the fingerprint of the request, which duplicates share. */
+    long fingerprint() {
+        return request.arrival().fingerprint();
+    }
+
     /** Returns the identifier of the call. */
     long call() {
         return call;
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegistry.java
@@ -137,7 +137,7 @@
         }
         BackendAttempt attempt = new BackendAttempt(send, exchange, driver, this);
         attempts.put(send.attempt(), attempt);
-        log.logSent(exchange.identifier(), send);
+        log.logSent(exchange.identifier(), exchange.fingerprint(), send);
         attempt.start(connections.client(send.address()));
     }
 
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/GatewayLog.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/GatewayLog.java
@@ -39,8 +39,8 @@
         }
 
         @Override
-        public void logSent(String requestIdentifier, Decision.Send send) {
-            CallLog.Disabled.INSTANCE.logSent(requestIdentifier, send);
+        public void logSent(String requestIdentifier, long fingerprint, Decision.Send send) {
+            CallLog.Disabled.INSTANCE.logSent(requestIdentifier, fingerprint, send);
         }
 
         @Override
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/JsonLineLog.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/JsonLineLog.java
@@ -52,12 +52,13 @@
     }
 
     @Override
-    public void logSent(String requestIdentifier, Decision.Send send) {
+    public void logSent(String requestIdentifier, long fingerprint, Decision.Send send) {
         Decision.Basis basis = send.basis();
         lines.add(startLine("sent")
                 .add("request", requestIdentifier)
                 .add("call", send.call())
                 .add("attempt", send.number())
+                .add("fingerprint", Long.toHexString(fingerprint))
                 .add("purpose", basis.purpose())
                 .add("server", send.address())
                 .add("incarnation", basis.incarnation())
