--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
@@ -0,0 +1,407 @@
+package org.chivecourse.coordination.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.model.CallerRoute;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Discovery;
+import org.chivecourse.configuration.model.Idempotency;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.Reason;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.measure.ProbeFinding;
+import org.chivecourse.state.publication.PublishedItem;
+import org.chivecourse.state.server.LoadReport;
+
+/**
+ * Simulates backend servers behind a fleet of gateways on virtual time, ordinary callers, and requests that end each
+ * backend server that begins to run them and that come again at any gateway.
+ */
+final class CrashingRequestSimulation {
+
+    /** The number of backend servers that a request has ended once the platform counts its further sends. */
+    private static final int SERVERS_TO_RECOGNIZE = 3;
+
+    /** The time after the third end from which sends of a crashing request are counted, as the platform states. */
+    private static final long RECOGNITION_MILLISECONDS = 3000;
+
+    /** The time for which a gateway must have been undisturbed for its sends to count, as the platform states. */
+    private static final long UNDISTURBED_MILLISECONDS = 3000;
+
+    /** The fingerprint of the first crashing request. */
+    private static final long FIRST_CRASHING_FINGERPRINT = 1;
+
+    /** The time after which a backend server that has ended is replaced. */
+    private static final long REPLACEMENT_MILLISECONDS = 2000;
+
+    /** The time after which the announcement of a backend server that has ended expires. */
+    private static final long ANNOUNCEMENT_MILLISECONDS = 4500;
+
+    /** The time after which a probe of a silent backend server fails. */
+    private static final long PROBE_TIMEOUT_MILLISECONDS = 500;
+
+    /** The time between two steps. */
+    private static final long STEP_MILLISECONDS = 10;
+
+    private final FleetNetwork network;
+
+    private final int gateways;
+
+    private final SplittableRandom random;
+
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+
+    private final Map<String, Decision.Send> sends = new HashMap<>();
+
+    private final Map<String, Long> fingerprints = new HashMap<>();
+
+    private final Map<String, Boolean> ordinary = new HashMap<>();
+
+    private final List<Due> due = new ArrayList<>();
+
+    private final List<Crashing> crashing = new ArrayList<>();
+
+    private final Map<String, Long> disturbedUntil = new HashMap<>();
+
+    private int nextServer;
+
+    private long nextCall = 1;
+
+    /** How backend servers end. */
+    ServerEnd serverEnd = ServerEnd.RESET;
+
+    /** The share of ordinary requests whose connection is reset after they ran. */
+    double resetShare;
+
+    /** The share of all requests that are answered with status 500 without having run. */
+    double errorShare;
+
+    /** The time between two arrivals of each crashing request. */
+    long repeatMilliseconds = 300;
+
+    /** The time limit of the routes. */
+    long timeoutMilliseconds = 1000;
+
+    /** The number of ordinary requests that were refused as crashing ones. */
+    int ordinaryBlocked;
+
+    /** How the end of a backend server shows on its connections. */
+    enum ServerEnd {
+        /** Open connections are reset and new ones refused. */
+        RESET,
+
+        /** Nothing answers any more. */
+        SILENT
+    }
+
+    CrashingRequestSimulation(int gateways, int serverCount, long seed) {
+        this.gateways = gateways;
+        random = new SplittableRandom(seed);
+        network = new FleetNetwork(gateways);
+        network.setListener(this::perform);
+        for (int number = 0; number < serverCount; number++) {
+            startServer();
+        }
+    }
+
+    FleetNetwork network() {
+        return network;
+    }
+
+    /** Lets the fleet find itself, and then runs a number of crashing requests beside ordinary ones. */
+    void run(int crashingRequests, boolean idempotent, long milliseconds, Disruption disruption) {
+        network.publish(configuration());
+        advance(2000, false, elapsed -> {});
+        for (int number = 0; number < crashingRequests; number++) {
+            crashing.add(new Crashing(FIRST_CRASHING_FINGERPRINT + number, idempotent));
+        }
+        advance(milliseconds, true, disruption);
+    }
+
+    private PublishedItem configuration() {
+        Configuration configuration = Configuration.revision(2)
+                .service(Service.named("jobs").discovery(Discovery.DEFAULT))
+                .callerRoute(CallerRoute.of("lookups", "jobs.example", "/lookups/", "jobs")
+                        .idempotency(Idempotency.IDEMPOTENT)
+                        .attempts(2)
+                        .rank(2)
+                        .times(Duration.ofMillis(timeoutMilliseconds), Duration.ofMillis(300)))
+                .callerRoute(CallerRoute.of("orders", "jobs.example", "/orders/", "jobs")
+                        .idempotency(Idempotency.NOT_IDEMPOTENT)
+                        .attempts(2)
+                        .rank(1)
+                        .times(Duration.ofMillis(timeoutMilliseconds), Duration.ofMillis(400)));
+        String text = new ConfigurationWriter().printUnchecked(configuration);
+        return new PublishedItem(TextDecoder.CONFIGURATION, 0, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void advance(long milliseconds, boolean traffic, Disruption disruption) {
+        for (long elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
+            runDue();
+            if (traffic) {
+                disruption.apply(elapsed);
+                arrivals(elapsed);
+            }
+            network.advance(STEP_MILLISECONDS);
+        }
+    }
+
+    private void arrivals(long elapsed) {
+        for (Crashing request : crashing) {
+            if (elapsed % repeatMilliseconds == 0) {
+                arrive(request.fingerprint, request.idempotent);
+            }
+        }
+        if (elapsed % 20 == 0) {
+            arrive(1_000_000 + nextCall, random.nextDouble() < 0.7);
+        }
+    }
+
+    private void arrive(long fingerprint, boolean idempotent) {
+        String host = FleetNetwork.name(random.nextInt(gateways));
+        if (!isRunning(host)) {
+            return;
+        }
+        long call = nextCall++;
+        fingerprints.put(host + call, fingerprint);
+        ordinary.put(host + call, fingerprint >= 1_000_000);
+        network.handle(
+                host,
+                new Event.CallArrived(
+                        call,
+                        new Arrival(
+                                idempotent ? Method.GET : Method.POST,
+                                idempotent ? "/lookups/1" : "/orders/1",
+                                timeoutMilliseconds * FleetNetwork.NANOSECONDS_PER_MILLISECOND,
+                                0,
+                                true,
+                                "",
+                                -1,
+                                fingerprint,
+                                "jobs.example")));
+    }
+
+    private boolean isRunning(String host) {
+        return network.core(Integer.parseInt(host.substring(host.indexOf('-') + 1))) != null;
+    }
+
+    /** Ends backend servers that run other requests. */
+    void endOtherServers(int count) {
+        List<Server> alive = servers.values().stream()
+                .filter(server -> server.alive)
+                .collect(java.util.stream.Collectors.toCollection(ArrayList::new));
+        for (int number = 0; number < count && !alive.isEmpty(); number++) {
+            end(alive.remove(random.nextInt(alive.size())));
+        }
+    }
+
+    /** Restarts a gateway. */
+    void restart(int number) {
+        network.kill(number);
+        network.start(number);
+        disturbedUntil.put(FleetNetwork.name(number), milliseconds() + UNDISTURBED_MILLISECONDS);
+    }
+
+    /** Cuts a gateway off from all others, or reconnects it. */
+    void setCutOff(int number, boolean cutOff) {
+        network.setDisconnectedFromPeers(number, cutOff);
+        disturbedUntil.put(
+                FleetNetwork.name(number), cutOff ? Long.MAX_VALUE : milliseconds() + UNDISTURBED_MILLISECONDS);
+    }
+
+    /** Returns, for each crashing request, the sends by undisturbed gateways that came too late. */
+    List<Integer> lateSends() {
+        return crashing.stream().map(Crashing::lateSends).toList();
+    }
+
+    /** Returns the number of backend servers that each crashing request has ended. */
+    List<Integer> serversEnded() {
+        return crashing.stream().map(request -> request.endedAt.size()).toList();
+    }
+
+    private long milliseconds() {
+        return network.now() / FleetNetwork.NANOSECONDS_PER_MILLISECOND;
+    }
+
+    private void startServer() {
+        String identity = "i" + nextServer++;
+        servers.put(identity, new Server(identity));
+        network.publish(TextDecoder.server(identity, 0, "ready", "dc-" + nextServer % 3));
+    }
+
+    private void perform(String host, Decision decision) {
+        if (decision instanceof Decision.Send send) {
+            sends.put(host + send.attempt(), send);
+            connect(host, send);
+        } else if (decision instanceof Decision.Proceed proceed) {
+            receive(host, sends.get(host + proceed.attempt()));
+        } else if (decision instanceof Decision.Drop drop) {
+            servers.get(sends.get(host + drop.attempt()).address()).open.remove(new Attempt(host, drop.attempt()));
+        } else if (decision instanceof Decision.Deliver deliver) {
+            network.scheduleEvent(host, new Event.AnswerCompleted(deliver.attempt()), 1);
+        } else if (decision instanceof Decision.Probe probe) {
+            probe(host, probe);
+        } else if (decision instanceof Decision.Refuse refuse
+                && refuse.refusal().reason() == Reason.CONVICTED
+                && ordinary.getOrDefault(host + refuse.call(), false)) {
+            ordinaryBlocked++;
+        }
+    }
+
+    private void connect(String host, Decision.Send send) {
+        if (servers.get(send.address()).alive || serverEnd == ServerEnd.SILENT) {
+            network.scheduleEvent(host, new Event.AttemptReady(send.attempt()), 1);
+        } else {
+            network.scheduleEvent(host, new Event.AttemptUnsent(send.attempt(), "refused"), 1);
+        }
+    }
+
+    private void receive(String host, Decision.Send send) {
+        Server server = servers.get(send.address());
+        Attempt attempt = new Attempt(host, send.attempt());
+        server.open.add(attempt);
+        if (!server.alive) {
+            return;
+        }
+        if (random.nextDouble() < errorShare) {
+            answer(server, attempt, 500, 5);
+            return;
+        }
+        long fingerprint = fingerprints.get(host + send.call());
+        for (Crashing request : crashing) {
+            if (request.fingerprint == fingerprint) {
+                request.recordSend(milliseconds(), disturbedUntil.getOrDefault(host, 0L) <= milliseconds());
+                request.endedAt.add(milliseconds());
+                end(server);
+                return;
+            }
+        }
+        long work = 60 + random.nextInt(120);
+        if (random.nextDouble() < resetShare) {
+            later(work, () -> reset(server, attempt));
+        } else {
+            answer(server, attempt, 200, work);
+        }
+    }
+
+    private void answer(Server server, Attempt attempt, int status, long delayMilliseconds) {
+        later(delayMilliseconds, () -> {
+            if (server.alive && server.open.remove(attempt)) {
+                network.scheduleEvent(
+                        attempt.host(),
+                        new Event.AnswerStarted(
+                                attempt.number(), new Event.AnswerHead(status, false, false, server.report())),
+                        1);
+            }
+        });
+    }
+
+    private void reset(Server server, Attempt attempt) {
+        if (server.open.remove(attempt)) {
+            network.scheduleEvent(attempt.host(), new Event.AttemptBroken(attempt.number(), "reset"), 1);
+        }
+    }
+
+    private void probe(String host, Decision.Probe probe) {
+        Server server = servers.get(probe.address());
+        if (server.alive) {
+            network.scheduleEvent(
+                    host, new Event.ProbeEnded(probe.address(), true, server.report(), 0, ProbeFinding.SERVING), 2);
+            return;
+        }
+        network.scheduleEvent(
+                host,
+                new Event.ProbeEnded(probe.address(), false, null, 0, ProbeFinding.UNREACHABLE),
+                serverEnd == ServerEnd.SILENT ? PROBE_TIMEOUT_MILLISECONDS : 1);
+    }
+
+    private void end(Server server) {
+        server.alive = false;
+        if (serverEnd == ServerEnd.RESET) {
+            Set.copyOf(server.open).forEach(attempt -> reset(server, attempt));
+        }
+        later(REPLACEMENT_MILLISECONDS, this::startServer);
+        later(
+                ANNOUNCEMENT_MILLISECONDS,
+                () -> network.publish(new PublishedItem("server " + server.identity, 0, null)));
+    }
+
+    private void later(long delayMilliseconds, Runnable action) {
+        due.add(new Due(milliseconds() + delayMilliseconds, action));
+    }
+
+    private void runDue() {
+        List<Due> now =
+                due.stream().filter(action -> action.at <= milliseconds()).toList();
+        due.removeAll(now);
+        now.forEach(action -> action.action.run());
+    }
+
+    /** Disturbs the simulation at a time. */
+    @FunctionalInterface
+    interface Disruption {
+
+        void apply(long elapsedMilliseconds);
+    }
+
+    private record Due(long at, Runnable action) {}
+
+    private record Attempt(String host, long number) {}
+
+    /** A backend server. */
+    private static final class Server {
+
+        private final String identity;
+
+        private final Set<Attempt> open = new HashSet<>();
+
+        private boolean alive = true;
+
+        Server(String identity) {
+            this.identity = identity;
+        }
+
+        LoadReport report() {
+            return new LoadReport(open.size(), 4, 100);
+        }
+    }
+
+    /** A request that ends the backend servers that run it. */
+    private static final class Crashing {
+
+        private final long fingerprint;
+
+        private final boolean idempotent;
+
+        private final List<Long> endedAt = new ArrayList<>();
+
+        private int lateSends;
+
+        Crashing(long fingerprint, boolean idempotent) {
+            this.fingerprint = fingerprint;
+            this.idempotent = idempotent;
+        }
+
+        void recordSend(long at, boolean undisturbed) {
+            boolean late = endedAt.size() >= SERVERS_TO_RECOGNIZE
+                    && at > endedAt.get(SERVERS_TO_RECOGNIZE - 1) + RECOGNITION_MILLISECONDS;
+            lateSends += late && undisturbed ? 1 : 0;
+        }
+
+        int lateSends() {
+            return lateSends;
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestTest.java
@@ -0,0 +1,151 @@
+package org.chivecourse.coordination.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.function.Consumer;
+import org.chivecourse.coordination.fleet.CrashingRequestSimulation.Disruption;
+import org.chivecourse.coordination.fleet.CrashingRequestSimulation.ServerEnd;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against requests that go on ending backend servers, over all gateways together, after they have ended three,
+ * and against ordinary requests that are blocked in their place.
+ */
+class CrashingRequestTest {
+
+    private static final int HOSTS = 13;
+
+    private static final int SERVERS = 24;
+
+    private static final int SEEDS = 5;
+
+    private static final long MILLISECONDS = 15_000;
+
+    /** The number of sends by undisturbed gateways that the platform allows after a crashing request is recognizable. */
+    private static final int ALLOWED_LATE_SENDS = 3;
+
+    private static void assertRecognized(Consumer<Scene> scene) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            assertRecognized(new Scene(HOSTS, seed), scene);
+        }
+    }
+
+    private static void assertRecognized(Scene prepared, Consumer<Scene> scene) {
+        scene.accept(prepared);
+        CrashingRequestSimulation simulation = prepared.simulation;
+        simulation.run(2, prepared.idempotent, MILLISECONDS, prepared.disruption);
+        String reason = "seed " + prepared.seed + ", servers ended " + simulation.serversEnded();
+        assertThat(reason, simulation.serversEnded(), everyItem(greaterThanOrEqualTo(3)));
+        assertThat(reason, simulation.lateSends(), everyItem(lessThanOrEqualTo(ALLOWED_LATE_SENDS)));
+        assertThat(reason + ", ordinary requests blocked", simulation.ordinaryBlocked, equalTo(0));
+    }
+
+    @Test
+    void recognizesRequestThatComesAgainAtAnyGateway() {
+        assertRecognized(scene -> {});
+    }
+
+    @Test
+    void recognizesOrderThatComesAgainAtAnyGateway() {
+        assertRecognized(scene -> scene.idempotent = false);
+    }
+
+    @Test
+    @Tag("known-red")
+    void recognizesRequestWhileSingleServersEnd() {
+        assertRecognized(scene -> scene.disruption = elapsed -> {
+            if (elapsed % 500 == 100) {
+                scene.simulation.endOtherServers(1);
+            }
+        });
+    }
+
+    @Test
+    @Tag("known-red")
+    void recognizesRequestWhileManyServersEnd() {
+        assertRecognized(scene -> scene.disruption = elapsed -> {
+            if (elapsed % 600 == 100) {
+                scene.simulation.endOtherServers(4);
+            }
+        });
+    }
+
+    @Test
+    @Tag("known-red")
+    void recognizesRequestWhileConnectionsOfRunningServersAreReset() {
+        assertRecognized(scene -> scene.simulation.resetShare = 0.1);
+    }
+
+    @Test
+    void recognizesRequestWhileServersAnswerWithErrors() {
+        assertRecognized(scene -> scene.simulation.errorShare = 0.2);
+    }
+
+    @Test
+    @Tag("known-red")
+    void recognizesRequestWhoseServersEndSilently() {
+        assertRecognized(scene -> scene.simulation.serverEnd = ServerEnd.SILENT);
+    }
+
+    @Test
+    @Tag("known-red")
+    void recognizesOrderWhoseServersEndSilentlyWithLongTimeout() {
+        assertRecognized(scene -> {
+            scene.simulation.serverEnd = ServerEnd.SILENT;
+            scene.simulation.timeoutMilliseconds = 6000;
+            scene.idempotent = false;
+        });
+    }
+
+    @Test
+    void recognizesRequestWhileGatewaysRestart() {
+        assertRecognized(scene -> scene.disruption = elapsed -> {
+            if (elapsed % 700 == 300) {
+                scene.simulation.restart((int) (elapsed / 700) % HOSTS);
+            }
+        });
+    }
+
+    @Test
+    void recognizesRequestWhileGatewaysAreCutOff() {
+        assertRecognized(scene -> scene.disruption = elapsed -> {
+            if (elapsed == 0 || elapsed == 8000) {
+                for (int number = 0; number < 4; number++) {
+                    scene.simulation.setCutOff(number, elapsed == 0);
+                }
+            }
+        });
+    }
+
+    @Test
+    void recognizesRequestWhileDigestsAreLost() {
+        assertRecognized(scene -> scene.simulation.network().setDigestLoss(0.3));
+    }
+
+    @Test
+    void recognizesRequestInDataCentresWithMoreGatewaysThanBridges() {
+        assertRecognized(new Scene(36, 1), scene -> {});
+    }
+
+    /** What happens beside the crashing requests. */
+    private static final class Scene {
+
+        private final long seed;
+
+        private final CrashingRequestSimulation simulation;
+
+        private boolean idempotent = true;
+
+        private Disruption disruption = elapsed -> {};
+
+        Scene(int hosts, long seed) {
+            this.seed = seed;
+            simulation = new CrashingRequestSimulation(hosts, SERVERS, seed);
+        }
+    }
+}
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -63,6 +63,12 @@
 
     private boolean publisherDown;
 
+    private double digestLoss;
+
+    private final SplittableRandom lossRandom = new SplittableRandom(1);
+
+    private DecisionListener listener = (host, decision) -> {};
+
     int publisherCalls;
 
     FleetNetwork(int hosts) {
@@ -142,6 +148,26 @@
         }
     }
 
+    /** Loses a share of the digests between gateways from now on. */
+    void setDigestLoss(double share) {
+        digestLoss = share;
+    }
+
+    /** Passes all decisions of the gateways to a simulation of what they concern outside the fleet. */
+    void setListener(DecisionListener decisionListener) {
+        listener = decisionListener;
+    }
+
+    /** Delivers an event to a gateway after a delay, unless it is down or restarted by then. */
+    void scheduleEvent(String host, Event event, long delayMilliseconds) {
+        pending.add(new Pending(
+                now + delayMilliseconds * NANOSECONDS_PER_MILLISECOND,
+                ++lastOrder,
+                host,
+                incarnations.get(host),
+                event));
+    }
+
     /** Publishes an item under the next revision and answers all open watches. */
     long publish(PublishedItem item) {
         long revision = publisherItems.revision() + 1;
@@ -226,6 +252,7 @@
                 watches.add(waiting);
             }
         }
+        listener.onDecision(host, decision);
     }
 
     private void deliver(String from, String address, Decision.SendFleetDigest send) {
@@ -234,6 +261,9 @@
         if (to == null || disconnectedFromPeers.contains(address) || disconnectedFromPeers.contains(senderAddress)) {
             return;
         }
+        if (digestLoss > 0 && lossRandom.nextDouble() < digestLoss) {
+            return;
+        }
         try {
             schedule(to, incarnations.get(to), codec.decode(codec.encode(send.digest(), now), from, now));
         } catch (PeerMessageException exception) {
@@ -297,6 +327,13 @@
         return now;
     }
 
+    /** Receives the decisions of the gateways. */
+    @FunctionalInterface
+    interface DecisionListener {
+
+        void onDecision(String host, Decision decision);
+    }
+
     private record Watch(String host, int incarnation, long call, long after, long until) {}
 
     private record Pending(long deliverAt, long order, String host, int incarnation, Event event)
