Count the ends of backend servers against a request, not broken connections

Cause: what was recorded against a request was a broken connection of an open call, in place of the end of its server.

Change: CrashDetector watches each request that was sent until its server has answered it, shows life in another way, or is known to have ended: unreachable for 0.3 s, gone or replaced without leaving in good order, and for a configured server that nobody announces, silent for 1 s after it broke the connection. PoisonRequests holds a union of such ends. Ends that another request with two or more of them explains excuse nobody; where several others remain, the ends within a second count as one in place of none. The condition that a request ran alone twice is gone: reports of others always met it and own ones often could not. An end that is not confirmed yet already holds the third send back.

Ruled out: a longer excuse, a shorter event, and no excuse at all, since four servers that end together would then count fully against whatever ran there.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -6,7 +6,6 @@
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.ejection.Ejection;
 import org.chivecourse.coordination.event.Event;
-import org.chivecourse.coordination.poison.FailureFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.state.call.AttemptState;
 import org.chivecourse.state.call.CallPhase;
@@ -38,6 +37,9 @@
     /** The requests that are suspected or blocked because backend servers crashed while running them. */
     private final PoisonRequests poisonRequests;
 
+    /** Finds the backend servers that ended while they ran a request. */
+    private final CrashDetector crashDetector;
+
     /** Creates a handler. */
     AttemptOutcomeHandler(
             ServiceRegistry services,
@@ -45,13 +47,15 @@
             FinalAnswers finalAnswers,
             CallContinuation continuation,
             KeyedCalls keyedCalls,
-            PoisonRequests poisonRequests) {
+            PoisonRequests poisonRequests,
+            CrashDetector crashDetector) {
         this.services = services;
         this.openCalls = openCalls;
         this.finalAnswers = finalAnswers;
         this.continuation = continuation;
         this.keyedCalls = keyedCalls;
         this.poisonRequests = poisonRequests;
+        this.crashDetector = crashDetector;
     }
 
     /**
@@ -74,6 +78,7 @@
             return;
         }
         attempt.recordSending(now);
+        crashDetector.watch(attempt);
         services.recordDispatch(attempt.server(), now);
         ServiceState service = services.service(attempt.call().terms().service());
         if (service != null && attempt.call().terms().route().isEmpty()) {
@@ -126,8 +131,8 @@
         }
         services.recordFailure(attempt.server(), now);
         recordFailure(attempt.server(), event.reason(), now, sink);
+        crashDetector.recordBreak(attempt, now);
         if (attempt.call().phase() == CallPhase.ATTEMPTING) {
-            recordCrash(attempt, now, sink);
             continuation.retryOrAbandon(attempt.call(), Reason.CONNECTION_BROKEN, now, sink);
         } else if (attempt.call().phase() == CallPhase.DELIVERING) {
             finalAnswers.finish(attempt.call(), now, sink);
@@ -148,6 +153,7 @@
         if (attempt.call().phase() != CallPhase.ATTEMPTING) {
             return;
         }
+        attempt.recordAnswer();
         applyAnswerHead(attempt.server(), event.answer(), now, sink);
         if (event.answer().refused()) {
             handleRefusal(attempt, event.answer(), now, sink);
@@ -216,32 +222,6 @@
         }
     }
 
-    /**
-     * Records that a request was in flight when its connection broke, and audits the change if the request is blocked
-     * by this.
-     */
-    private void recordCrash(AttemptState attempt, long now, DecisionSink sink) {
-        CallTerms terms = attempt.call().terms();
-        ServiceState service = services.service(terms.service());
-        boolean alone = service != null && service.quarantine().runsAlone(attempt);
-        services.recordCrash(terms.fingerprint(), attempt.server());
-        FailureFinding finding = poisonRequests.recordFailure(
-                terms.fingerprint(), attempt.server().identity(), alone, now);
-        long revision = services.configuration().revision();
-        services.auditFailure(finding, terms.fingerprint(), attempt.server().identity(), sink);
-        if (finding == FailureFinding.BLOCKED) {
-            String name = terms.method() + " " + terms.path() + " " + Long.toHexString(terms.fingerprint());
-            sink.decide(new Decision.Audit(new Decision.Change(
-                    Decision.Subject.REQUEST_CONVICTED,
-                    name,
-                    "suspected",
-                    "convicted",
-                    "crashes of backend servers coincided with it, last "
-                            + attempt.server().identity(),
-                    revision)));
-        }
-    }
-
     /**
      * Applies what the head of an answer reports of the backend server: its load, that it is leaving, or that another
      * server answered at its address.
@@ -252,6 +232,7 @@
             services.markLeaving(server.identity(), LeavingCause.REPLACED, revision, sink);
             return;
         }
+        server.condition().recordAlive(now);
         if (answer.report() != null && answer.refused()) {
             services.recordLoad(server, answer.report(), now);
         } else if (answer.report() != null) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
@@ -120,7 +120,7 @@
     /** Returns whether a call may be retried. Spends one retry of the service's budget if the rule counts it. */
     boolean acquireRetry(CallState call, long now) {
         ServiceState service = services.service(call.terms().service());
-        boolean blocked = poisonRequests.blocked(call.terms().fingerprint(), now);
+        boolean blocked = poisonRequests.refuses(call.terms().fingerprint(), now);
         return service != null && !blocked && RetryRule.INSTANCE.allows(call, service.retryBudget(), now);
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -47,6 +47,9 @@
     /** The requests that are suspected or blocked because backend servers crashed while running them. */
     private final PoisonRequests poisonRequests;
 
+    /** Finds the backend servers that ended while they ran a request. */
+    private final CrashDetector crashDetector;
+
     /**
      * Creates a coordinator without calls.
      *
@@ -61,8 +64,9 @@
         launcher = new AttemptLauncher(openCalls, new ServerSelector(settings.policy(), random), poisonRequests);
         continuation = new CallContinuation(services, finalAnswers, launcher, poisonRequests);
         keyedCalls = new KeyedCalls(openCalls, finalAnswers, ownership, continuation::start);
-        attemptOutcomes =
-                new AttemptOutcomeHandler(services, openCalls, finalAnswers, continuation, keyedCalls, poisonRequests);
+        crashDetector = new CrashDetector(services, poisonRequests);
+        attemptOutcomes = new AttemptOutcomeHandler(
+                services, openCalls, finalAnswers, continuation, keyedCalls, poisonRequests, crashDetector);
     }
 
     /**
@@ -102,7 +106,7 @@
         if (service == null) {
             return Reason.NO_SERVICE;
         }
-        if (poisonRequests.blocked(arrival.fingerprint(), now)) {
+        if (poisonRequests.refuses(arrival.fingerprint(), now)) {
             return Reason.CONVICTED;
         }
         int share = service.service().priority().openCallSharePercent();
@@ -143,6 +147,11 @@
         }
     }
 
+    /** Returns the detector of backend servers that ended while they ran a request. */
+    public CrashDetector crashDetector() {
+        return crashDetector;
+    }
+
     /** Returns the handler of the outcomes of attempts. */
     public AttemptOutcomeHandler attemptOutcomes() {
         return attemptOutcomes;
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -0,0 +1,200 @@
+package org.chivecourse.coordination.call;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.poison.PoisonRequests;
+import org.chivecourse.state.call.AttemptState;
+import org.chivecourse.state.call.CallTerms;
+import org.chivecourse.state.fleet.Crash;
+import org.chivecourse.state.server.LeavingCause;
+import org.chivecourse.state.server.ServerCondition;
+import org.chivecourse.state.server.ServerState;
+
+/**
+ * Finds the backend servers that ended while they ran a request of this host.
+ *
+ * <p>A broken connection or a missing answer alone does not tell: the server may go on running. Each request that was
+ * sent is therefore watched until its server has answered it, shows in another way that it runs, or is known to have
+ * ended, whether the call is still open by then or not.
+ */
+public final class CrashDetector {
+
+    /** The time for which a backend server has to stay unreachable to count as ended, in nanoseconds. */
+    private static final long SILENCE_NANOSECONDS = 300_000_000L;
+
+    /** The time after a broken connection within which a sign of life may have been sent before it, in nanoseconds. */
+    private static final long SIGN_DELAY_NANOSECONDS = 100_000_000L;
+
+    /**
+     * The time without a sign of life after a broken connection from which a configured backend server counts as ended,
+     * in nanoseconds. Nobody announces the end of such a server.
+     */
+    private static final long CONFIGURED_SERVER_SILENCE_NANOSECONDS = 1_000_000_000L;
+
+    /** The time after the end of an attempt for which it is watched, in nanoseconds. */
+    private static final long WATCH_NANOSECONDS = 10_000_000_000L;
+
+    /** The maximum number of watched attempts; the oldest is forgotten first. Bounds the memory used. */
+    private static final int MAXIMUM_WATCHED_ATTEMPTS = 10_000;
+
+    /** The services of the configuration in force. */
+    private final ServiceRegistry services;
+
+    /** Holds the requests that are suspected or blocked. */
+    private final PoisonRequests poisonRequests;
+
+    /** The attempts that have been sent and whose server may still end under them, the oldest first. */
+    private final List<WatchedAttempt> watched = new ArrayList<>();
+
+    /** Creates a detector that watches nothing. */
+    CrashDetector(ServiceRegistry services, PoisonRequests poisonRequests) {
+        this.services = services;
+        this.poisonRequests = poisonRequests;
+    }
+
+    /** Watches an attempt whose request is about to be written to a connection. */
+    void watch(AttemptState attempt) {
+        if (watched.size() >= MAXIMUM_WATCHED_ATTEMPTS) {
+            dismiss(watched.remove(0));
+        }
+        watched.add(new WatchedAttempt(attempt));
+    }
+
+    /** Records that the connection of an attempt broke before the backend server answered. */
+    void recordBreak(AttemptState attempt, long now) {
+        for (WatchedAttempt candidate : watched) {
+            if (candidate.attempt == attempt && !attempt.answered()) {
+                candidate.broken = true;
+                candidate.recordEnd(now);
+                poisonRequests.suspect(
+                        candidate.fingerprint(), candidate.server().processName(), now);
+            }
+        }
+    }
+
+    /** Records which attempts the current event has ended. */
+    public void recordEnds(long now) {
+        for (WatchedAttempt candidate : watched) {
+            if (candidate.attempt.ended()) {
+                candidate.recordEnd(now);
+            }
+        }
+    }
+
+    /** Records the crashes of backend servers that have become certain, and forgets the attempts that were not hit. */
+    public void findCrashes(long now, DecisionSink sink) {
+        Iterator<WatchedAttempt> iterator = watched.iterator();
+        while (iterator.hasNext()) {
+            WatchedAttempt candidate = iterator.next();
+            if (hasEnded(candidate, now)) {
+                iterator.remove();
+                recordCrash(candidate, now, sink);
+            } else if (isUnharmed(candidate, now)) {
+                iterator.remove();
+                dismiss(candidate);
+            }
+        }
+    }
+
+    /** Returns whether the backend server of an attempt has ended without answering it. */
+    private boolean hasEnded(WatchedAttempt candidate, long now) {
+        if (candidate.attempt.answered() || showedLife(candidate)) {
+            return false;
+        }
+        ServerCondition condition = candidate.server().condition();
+        boolean silentSinceSent = condition.isSilent() && condition.silentSince() - candidate.attempt.sentAt() > 0;
+        if (silentSinceSent && now - condition.silentSince() >= SILENCE_NANOSECONDS) {
+            return true;
+        }
+        return candidate.ended && (isGone(candidate.server()) || isSilentConfigured(candidate, now));
+    }
+
+    /**
+     * Returns whether a backend server was removed or replaced although it had not said that it leaves. One that leaves
+     * in good order is no longer known either.
+     */
+    private boolean isGone(ServerState server) {
+        if (server.leavingCause() == LeavingCause.REPLACED) {
+            return true;
+        }
+        return server.leavingCause() == LeavingCause.NONE && services.server(server.identity()) != server;
+    }
+
+    /** Returns whether nothing shows that a configured backend server runs since it broke a connection. */
+    private static boolean isSilentConfigured(WatchedAttempt candidate, long now) {
+        return candidate.broken
+                && !candidate.server().server().announced()
+                && now - candidate.endedAt >= CONFIGURED_SERVER_SILENCE_NANOSECONDS;
+    }
+
+    /** Returns whether a backend server runs although it did not answer an attempt that has ended. */
+    private static boolean showedLife(WatchedAttempt candidate) {
+        long since = candidate.endedAt + SIGN_DELAY_NANOSECONDS;
+        return candidate.ended && candidate.server().condition().lastAliveAt() - since > 0;
+    }
+
+    /** Returns whether an attempt need not be watched any longer. */
+    private static boolean isUnharmed(WatchedAttempt candidate, long now) {
+        return candidate.attempt.answered()
+                || showedLife(candidate)
+                || candidate.ended && now - candidate.endedAt >= WATCH_NANOSECONDS;
+    }
+
+    /** Records that the backend server of an attempt ended under it. */
+    private void recordCrash(WatchedAttempt candidate, long now, DecisionSink sink) {
+        ServerCondition condition = candidate.server().condition();
+        long firstSign = candidate.ended ? candidate.endedAt : now;
+        long endedAt =
+                condition.isSilent() && condition.silentSince() - firstSign < 0 ? condition.silentSince() : firstSign;
+        Crash crash = new Crash(candidate.fingerprint(), candidate.server().processName(), endedAt);
+        services.recordCrash(crash);
+        CallTerms terms = candidate.attempt.call().terms();
+        services.auditCrash(poisonRequests.recordCrash(crash, now), crash, terms, sink);
+    }
+
+    /** Withdraws the suspicion that a broken connection raised. */
+    private void dismiss(WatchedAttempt candidate) {
+        if (candidate.broken) {
+            poisonRequests.dismiss(candidate.fingerprint(), candidate.server().processName());
+        }
+    }
+
+    /** An attempt that has been sent. */
+    private static final class WatchedAttempt {
+
+        /** The attempt. */
+        private final AttemptState attempt;
+
+        /** Whether its connection broke. */
+        private boolean broken;
+
+        /** Whether it has ended. */
+        private boolean ended;
+
+        /** The time of its end in nanoseconds. */
+        private long endedAt;
+
+        /** Creates a watched attempt that is open. */
+        WatchedAttempt(AttemptState attempt) {
+            this.attempt = attempt;
+        }
+
+        /** Records the end of the attempt, unless it is known. */
+        void recordEnd(long now) {
+            endedAt = ended ? endedAt : now;
+            ended = true;
+        }
+
+        /** Returns the backend server. */
+        ServerState server() {
+            return attempt.server();
+        }
+
+        /** Returns the fingerprint of the request. */
+        long fingerprint() {
+            return attempt.call().terms().fingerprint();
+        }
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -17,9 +17,10 @@
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.fleet.ObservationOutbox;
 import org.chivecourse.coordination.host.HostSettings;
-import org.chivecourse.coordination.poison.FailureFinding;
+import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.registry.ServerRegistry;
 import org.chivecourse.coordination.route.RouteTable;
+import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
@@ -128,13 +129,17 @@
             case LOAD -> {
                 if (!server.hasReport() || observation.observedAt() - server.reportedAt() > 0) {
                     server.recordReport(observation.report(), observation.observedAt());
+                    server.condition().recordAlive(observation.observedAt());
                     server.condition().markReachable();
                 }
             }
             case HANDED -> server.recordOthersDispatched(observation.requests(), observation.observedAt());
             case FAILURE -> server.condition().recordFailure(now);
             case UNREACHABLE -> server.condition().markUnreachable(now);
-            case UNWELL -> server.condition().recordHealth(false, now);
+            case UNWELL -> {
+                server.condition().recordHealth(false, now);
+                server.condition().recordAlive(observation.observedAt());
+            }
             case REPLACED -> {
                 // Ignored: the other host may know an older announcement of the same name, so only this host's requests
                 // can show that a backend server was replaced.
@@ -189,24 +194,29 @@
         }
     }
 
-    /**
-     * Queues for other hosts that a request was in flight when a backend server failed.
-     *
-     * @param fingerprint a number that duplicates of the request share
-     */
-    public void recordCrash(long fingerprint, ServerState server) {
+    /** Queues for other hosts that a backend server ended while it ran a request. */
+    public void recordCrash(Crash crash) {
         if (settings.fleet().enabled()) {
-            observations.add(new Crash(fingerprint, server.identity()));
+            observations.add(crash);
         }
     }
 
     /**
-     * Audits what a failure of a backend server that this host observed means for a request, if this host belongs to a
-     * fleet that exchanges such failures.
+     * Audits what the end of a backend server that this host found means for a request: that the request is blocked,
+     * and in a fleet that exchanges such findings everything else that it changes.
      */
-    void auditFailure(FailureFinding finding, long fingerprint, String server, DecisionSink sink) {
+    void auditCrash(CrashFinding finding, Crash crash, CallTerms terms, DecisionSink sink) {
         if (settings.fleet().enabled()) {
-            finding.audit(fingerprint, server, settings.name(), configuration.revision(), sink);
+            finding.audit(crash, settings.name(), configuration.revision(), sink);
+        }
+        if (finding == CrashFinding.BLOCKED) {
+            sink.decide(new Decision.Audit(new Decision.Change(
+                    Decision.Subject.REQUEST_CONVICTED,
+                    terms.method() + " " + terms.path() + " " + Long.toHexString(crash.fingerprint()),
+                    "suspected",
+                    "convicted",
+                    "crashes of backend servers coincided with it, last " + crash.server(),
+                    configuration.revision())));
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -7,7 +7,7 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.fleet.DigestComposer.Content;
 import org.chivecourse.coordination.host.HostSettings;
-import org.chivecourse.coordination.poison.FailureFinding;
+import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.coordination.publication.PublicationPoller;
 import org.chivecourse.coordination.publication.PublishedState;
@@ -211,8 +211,8 @@
             }
         }
         for (Crash crash : digest.crashes()) {
-            FailureFinding finding = poisonRequests.recordFailure(crash.fingerprint(), crash.server(), true, now);
-            finding.audit(crash.fingerprint(), crash.server(), sender.member().name(), revision(), sink);
+            CrashFinding finding = poisonRequests.recordCrash(crash, now);
+            finding.audit(crash, sender.member().name(), revision(), sink);
         }
         digest.blockedRequests()
                 .forEach((fingerprint, seconds) ->
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -105,6 +105,13 @@
      */
     public void handle(Event event, long now, DecisionSink sink) {
         keyOwnership.recordEvent(now);
+        calls.crashDetector().findCrashes(now, sink);
+        apply(event, now, sink);
+        calls.crashDetector().recordEnds(now);
+    }
+
+    /** Applies an event. */
+    private void apply(Event event, long now, DecisionSink sink) {
         if (event instanceof Event.CallArrived arrived) {
             calls.handleArrival(arrived, serves(now), now, sink);
         } else if (event instanceof Event.AttemptReady ready) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
@@ -5,6 +5,7 @@
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.health.HealthCheckResult;
 import org.chivecourse.coordination.health.HealthMonitor;
 import org.chivecourse.coordination.measure.AssignedProbes;
 import org.chivecourse.coordination.measure.ProbeFinding;
@@ -139,8 +140,8 @@
         switch (ended.finding()) {
             case OTHER_SERVER -> services.markLeaving(ended.address(), LeavingCause.REPLACED, revision, sink);
             case UNREACHABLE -> services.recordUnreachable(server, now);
-            case UNWELL -> services.recordHealth(server, false, now);
-            default -> services.recordHealth(server, true, now);
+            case UNWELL -> recordAnsweredProbe(server, false, now);
+            default -> recordAnsweredProbe(server, true, now);
         }
         if (ended.report() != null && ended.finding() != ProbeFinding.OTHER_SERVER) {
             services.recordLoad(server, ended.report(), now);
@@ -148,6 +149,12 @@
         }
     }
 
+    /** Records the health that a backend server reported in the answer to a probe. */
+    private void recordAnsweredProbe(ServerState server, boolean healthy, long now) {
+        server.condition().recordAlive(now);
+        services.recordHealth(server, healthy, now);
+    }
+
     /**
      * Applies the result of a health check, which may take the backend server out of service or return it, or ignores
      * the result if the server is no longer configured.
@@ -157,6 +164,9 @@
         if (server == null) {
             return;
         }
+        if (checked.answer() != HealthCheckResult.UNREACHABLE) {
+            server.condition().recordAlive(now);
+        }
         long revision = services.configuration().revision();
         switch (healthChecks.recordResult(server, checked.answer(), now)) {
             case LEAVING -> services.markLeaving(checked.address(), LeavingCause.HEALTH, revision, sink);
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/CrashFinding.java
@@ -0,0 +1,60 @@
+package org.chivecourse.coordination.poison;
+
+import java.util.Locale;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.state.fleet.Crash;
+
+/** What the end of a backend server means for a request that was running there. */
+public enum CrashFinding {
+    /** It counts against the request. */
+    COUNTED,
+
+    /** It does not count further, since several other backend servers ended at the same time. */
+    EXCUSED,
+
+    /** The request becomes blocked by it. */
+    BLOCKED,
+
+    /** The request was blocked before. */
+    BLOCKED_BEFORE {
+        @Override
+        boolean changesNothing() {
+            return true;
+        }
+    },
+
+    /** It was recorded before. */
+    KNOWN {
+        @Override
+        boolean changesNothing() {
+            return true;
+        }
+    };
+
+    /** Returns whether the host knows nothing new of the request. */
+    boolean changesNothing() {
+        return false;
+    }
+
+    /**
+     * Audits the finding, unless it changes nothing.
+     *
+     * @param crash the request and the backend server
+     * @param source the name of the host that observed or reported the crash
+     * @param revision the revision of the configuration in force
+     * @param sink receives the audit record
+     */
+    public void audit(Crash crash, String source, long revision, DecisionSink sink) {
+        if (changesNothing()) {
+            return;
+        }
+        sink.decide(new Decision.Audit(new Decision.Change(
+                Decision.Subject.REQUEST_SUSPECTED,
+                Long.toHexString(crash.fingerprint()),
+                "",
+                name().toLowerCase(Locale.ROOT),
+                "end of " + crash.server() + " known from " + source,
+                revision)));
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -1,89 +1,110 @@
 package org.chivecourse.coordination.poison;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import org.chivecourse.state.fleet.Crash;
 
 /**
- * Records which requests were in flight when backend servers failed, and blocks those that crash them.
+ * Records which requests were running when backend servers ended, and blocks those that end them.
  *
- * <p>A request is suspected from the first such coincidence and then runs alone. An answer clears the suspicion. A
- * request is blocked after coincidences with failures of several different backend servers, if it ran alone in enough
- * of them. Failures are not counted against a request while many other backend servers fail at the same time.
+ * <p>A request is suspected from the first such coincidence. It is blocked once {@link #SERVERS_TO_BLOCK} different
+ * backend servers have ended under it. An answer clears the earlier coincidences. While several other backend servers end that no request explains, coincidences within a second count as
+ * one, so that the loss of a rack blocks nothing.
+ *
+ * <p>The record is a union of what all hosts found: the order in which crashes, answers and blocks arrive does not
+ * matter.
  */
 public final class PoisonRequests {
 
-    /** The number of different backend servers whose failure blocks a request. */
+    /** The number of different backend servers whose end blocks a request. */
     public static final int SERVERS_TO_BLOCK = 3;
 
-    /** The number of those failures during which the request must have run alone. */
-    public static final int ALONE_FAILURES_TO_BLOCK = 2;
-
     /** The time for which a request is blocked. */
     public static final long BLOCK_NANOSECONDS = 600_000_000_000L;
 
-    /** The time after the last failure for which a request remains suspected. */
+    /** The time after the last coincidence for which a request remains suspected. */
     private static final long SUSPICION_NANOSECONDS = 600_000_000_000L;
 
-    /** The time within which failures of backend servers count as one event. */
-    private static final long FAILURE_EVENT_NANOSECONDS = 1_000_000_000L;
-
-    /** The number of other backend servers failing in one event from which failures count against no request. */
-    private static final int MASS_FAILURE_SERVERS = 2;
-
     /** The maximum number of requests that are remembered. Bounds the memory used. */
     private static final int MAXIMUM_REQUESTS = 10_000;
 
+    /** The number of ended servers from which a request is not forgotten while there are others to forget. */
+    private static final int SERVERS_TO_RETAIN = 2;
+
+    /** The time for which a new crash or answer is repeated to other hosts, so that lost messages do not matter. */
+    private static final long REPETITION_NANOSECONDS = 3_000_000_000L;
+
     /** The suspected and blocked requests by fingerprint, oldest first. */
     private final Map<Long, Suspicion> suspicions = new LinkedHashMap<>();
 
-    /** The failures of backend servers within the current event, oldest first. */
-    private final Deque<Failure> failures = new ArrayDeque<>();
+    /** The ends of backend servers that coincided with requests. */
+    private final ServerEnds serverEnds = new ServerEnds();
 
     /**
-     * Records that a backend server lost the connection of a request before its answer.
+     * Records that a backend server broke the connection of a request before its answer, and may have ended. {@link
+     * #recordCrash} or {@link #dismiss} has to follow.
      *
-     * @param server the identity of the backend server
-     * @param alone whether no other request of this host was in flight there
-     * @return what the failure means for the request
+     * @param server the process of the backend server
      */
-    public FailureFinding recordFailure(long fingerprint, String server, boolean alone, long now) {
-        removeExpired(now);
-        failures.addLast(new Failure(server, fingerprint, now));
-        Suspicion suspicion = suspicions.computeIfAbsent(fingerprint, key -> new Suspicion());
+    public void suspect(long fingerprint, String server, long now) {
+        Suspicion suspicion = suspicionOf(fingerprint, now);
+        suspicion.lastChangedAt = now;
+        suspicion.unconfirmed.put(server, now);
+    }
+
+    /** Withdraws {@link #suspect}, since the backend server goes on running. */
+    public void dismiss(long fingerprint, String server) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        if (suspicion == null) {
+            return;
+        }
+        suspicion.unconfirmed.remove(server);
+        if (suspicion.empty()) {
+            suspicions.remove(fingerprint);
+        }
+    }
+
+    /** Records that a backend server ended while a request was running there, and returns what that means. */
+    public CrashFinding recordCrash(Crash crash, long now) {
+        Suspicion suspicion = suspicionOf(crash.fingerprint(), now);
+        suspicion.unconfirmed.remove(crash.server());
         if (suspicion.blockedUntil != 0) {
-            return FailureFinding.BLOCKED_BEFORE;
+            return CrashFinding.BLOCKED_BEFORE;
         }
-        suspicion.lastFailureAt = now;
-        if (otherServersFailing(fingerprint, server) >= MASS_FAILURE_SERVERS) {
-            return FailureFinding.EXCUSED;
+        if (suspicion.crashes.containsKey(crash.server())) {
+            return CrashFinding.KNOWN;
         }
-        suspicion.servers.add(server);
-        suspicion.aloneFailures += alone ? 1 : 0;
-        boolean blocked =
-                suspicion.servers.size() >= SERVERS_TO_BLOCK && suspicion.aloneFailures >= ALONE_FAILURES_TO_BLOCK;
-        if (blocked) {
-            suspicion.blockedUntil = now + BLOCK_NANOSECONDS;
+        int countedBefore = countedServers(crash.fingerprint(), suspicion);
+        suspicion.lastChangedAt = crash.endedAt();
+        suspicion.crashes.put(crash.server(), new KnownCrash(crash, now));
+        serverEnds.record(crash);
+        int counted = countedServers(crash.fingerprint(), suspicion);
+        if (counted >= SERVERS_TO_BLOCK) {
+            suspicion.blockedUntil = crash.endedAt() + BLOCK_NANOSECONDS;
+            return CrashFinding.BLOCKED;
         }
-        return blocked ? FailureFinding.BLOCKED : FailureFinding.COUNTED;
+        return counted > countedBefore ? CrashFinding.COUNTED : CrashFinding.EXCUSED;
     }
 
-    /**
-     * Returns the number of other backend servers that fail in the current event without this request.
-     *
-     * @param server the backend server that failed with the request
-     */
-    private int otherServersFailing(long fingerprint, String server) {
-        Set<String> others = new HashSet<>();
-        Set<String> own = new HashSet<>(Set.of(server));
-        for (Failure failure : failures) {
-            (failure.fingerprint() == fingerprint ? own : others).add(failure.server());
+    /** Returns the number of ended servers that count against a request. */
+    private int countedServers(long fingerprint, Suspicion suspicion) {
+        List<Long> endedAt = new ArrayList<>();
+        suspicion.crashes.values().forEach(known -> endedAt.add(known.crash().endedAt()));
+        return serverEnds.countEvents(
+                endedAt, end -> suspicion.crashes.containsKey(end.server()) || explained(end, fingerprint));
+    }
+
+    /** Returns whether another request that several servers ended under explains the end of a server. */
+    private boolean explained(ServerEnds.End end, long fingerprint) {
+        for (long other : end.fingerprints()) {
+            Suspicion suspicion = suspicions.get(other);
+            if (other != fingerprint && suspicion != null && suspicion.crashes.size() >= SERVERS_TO_RETAIN) {
+                return true;
+            }
         }
-        others.removeAll(own);
-        return others.size();
+        return false;
     }
 
     /** Clears the suspicion of a request that was answered. A block is not lifted. */
@@ -100,9 +121,8 @@
      * @param until the time until which the request is blocked, in nanoseconds; a later end that is already known stays
      */
     public void block(long fingerprint, long until, long now) {
-        removeExpired(now);
-        Suspicion suspicion = suspicions.computeIfAbsent(fingerprint, key -> new Suspicion());
-        suspicion.lastFailureAt = now;
+        Suspicion suspicion = suspicionOf(fingerprint, now);
+        suspicion.lastChangedAt = now;
         suspicion.blockedUntil = Math.max(until, suspicion.blockedUntil);
     }
 
@@ -111,90 +131,134 @@
         Suspicion suspicion = suspicions.get(fingerprint);
         return suspicion != null
                 && suspicion.blockedUntil == 0
-                && now - suspicion.lastFailureAt < SUSPICION_NANOSECONDS;
+                && suspicion.coincidences() > 0
+                && now - suspicion.lastChangedAt < SUSPICION_NANOSECONDS;
     }
 
-    /**
-     * Returns the number of different backend servers that failed while the request was in flight, without mass
-     * failures.
-     */
+    /** Returns the number of different backend servers that ended, or may have ended, while the request was running. */
     public int failedServerCount(long fingerprint) {
         Suspicion suspicion = suspicions.get(fingerprint);
-        return suspicion == null ? 0 : suspicion.servers.size();
+        return suspicion == null ? 0 : suspicion.coincidences();
     }
 
     /**
-     * Returns whether a backend server failed while the request was in flight, so that another run there would give no
-     * new evidence.
+     * Returns whether a backend server ended, or may have ended, while the request was running, so that another run
+     * there would give no new evidence.
      */
     public boolean failedAt(long fingerprint, String server) {
         Suspicion suspicion = suspicions.get(fingerprint);
-        return suspicion != null && suspicion.servers.contains(server);
+        return suspicion != null
+                && (suspicion.crashes.containsKey(server) || suspicion.unconfirmed.containsKey(server));
     }
 
     /** Returns whether a request is blocked now. */
     public boolean blocked(long fingerprint, long now) {
         Suspicion suspicion = suspicions.get(fingerprint);
-        return suspicion != null && suspicion.blockedUntil != 0 && now - suspicion.blockedUntil < 0;
+        return suspicion != null && suspicion.blocked(now);
+    }
+
+    /**
+     * Returns whether a request must not be sent now: it is blocked, or would be by the end of a server that is not yet
+     * confirmed.
+     */
+    public boolean refuses(long fingerprint, long now) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        if (suspicion == null) {
+            return false;
+        }
+        if (suspicion.blocked(now)) {
+            return true;
+        }
+        return !suspicion.unconfirmed.isEmpty()
+                && suspicion.crashes.size() >= SERVERS_TO_BLOCK - 1
+                && countedServers(fingerprint, suspicion) >= SERVERS_TO_BLOCK - 1;
     }
 
     /** Returns the remaining time of each block in nanoseconds, by the fingerprint of the request. */
     public Map<Long, Long> blockedRequests(long now) {
         Map<Long, Long> remaining = new LinkedHashMap<>();
         suspicions.forEach((fingerprint, suspicion) -> {
-            if (blocked(fingerprint, now)) {
+            if (suspicion.blocked(now)) {
                 remaining.put(fingerprint, suspicion.blockedUntil - now);
             }
         });
         return remaining;
     }
 
+    /** Returns the record of a request, a new one if there is none. */
+    private Suspicion suspicionOf(long fingerprint, long now) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        if (suspicion != null) {
+            return suspicion;
+        }
+        makeRoom(now);
+        Suspicion created = new Suspicion();
+        suspicions.put(fingerprint, created);
+        return created;
+    }
+
     /**
-     * Removes failures outside the current event and, once the maximum is reached, expired suspicions and blocks, or
-     * else the oldest entry.
+     * Once the maximum is reached, removes expired records, or else the oldest one with few coincidences, or else the
+     * oldest.
      */
-    private void removeExpired(long now) {
-        while (!failures.isEmpty() && now - failures.peekFirst().at() > FAILURE_EVENT_NANOSECONDS) {
-            failures.removeFirst();
-        }
+    private void makeRoom(long now) {
         if (suspicions.size() < MAXIMUM_REQUESTS) {
             return;
         }
-        suspicions.entrySet().removeIf(entry -> expired(entry.getValue(), now));
-        if (suspicions.size() >= MAXIMUM_REQUESTS) {
-            suspicions.remove(suspicions.keySet().iterator().next());
+        suspicions.values().removeIf(suspicion -> suspicion.expired(now));
+        if (suspicions.size() < MAXIMUM_REQUESTS) {
+            return;
         }
-    }
-
-    /** Returns whether a suspicion or block has ended. */
-    private static boolean expired(Suspicion suspicion, long now) {
-        return suspicion.blockedUntil != 0
-                ? now - suspicion.blockedUntil >= 0
-                : now - suspicion.lastFailureAt >= SUSPICION_NANOSECONDS;
+        long removed = suspicions.entrySet().stream()
+                .filter(entry ->
+                        !entry.getValue().blocked(now) && entry.getValue().coincidences() < SERVERS_TO_RETAIN)
+                .findFirst()
+                .orElseGet(() -> suspicions.entrySet().iterator().next())
+                .getKey();
+        suspicions.remove(removed);
     }
 
     /**
-     * A failure of a backend server.
+     * A crash with the time at which this host learnt of it.
      *
-     * @param server the identity of the backend server
-     * @param fingerprint the fingerprint of a request that was in flight there
-     * @param at the time of the failure in nanoseconds
+     * @param crash the crash
+     * @param learntAt the time in nanoseconds
      */
-    private record Failure(String server, long fingerprint, long at) {}
+    private record KnownCrash(Crash crash, long learntAt) {}
 
-    /** The record of a request that was in flight when backend servers failed. */
+    /** The record of a request that was running when backend servers ended. */
     private static final class Suspicion {
 
-        /** The backend servers that failed while the request was in flight. */
-        private final Set<String> servers = new HashSet<>();
+        /** The crashes by process of the backend server. */
+        private final Map<String, KnownCrash> crashes = new LinkedHashMap<>();
 
-        /** The number of failures during which the request ran alone. */
-        private int aloneFailures;
+        /** The times of broken connections by process of the backend server, which may have ended. */
+        private final Map<String, Long> unconfirmed = new LinkedHashMap<>();
 
-        /** The time of the last failure, or of the last report that the request is blocked, in nanoseconds. */
-        private long lastFailureAt;
+        /** The time of the last coincidence, answer or report that the request is blocked, in nanoseconds. */
+        private long lastChangedAt;
 
         /** The time until which the request is blocked, in nanoseconds; zero unless it is blocked. */
         private long blockedUntil;
+
+        /** Returns the number of backend servers that ended or may have ended. */
+        int coincidences() {
+            return crashes.size() + unconfirmed.size();
+        }
+
+        /** Returns whether nothing has to be remembered. */
+        boolean empty() {
+            return coincidences() == 0 && blockedUntil == 0;
+        }
+
+        /** Returns whether the request is blocked now. */
+        boolean blocked(long now) {
+            return blockedUntil != 0 && now - blockedUntil < 0;
+        }
+
+        /** Returns whether the suspicion or block has ended. */
+        boolean expired(long now) {
+            return blockedUntil != 0 ? !blocked(now) : now - lastChangedAt >= SUSPICION_NANOSECONDS;
+        }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -32,6 +32,9 @@
     /** The maximum age of an observation. A digest with an older one is rejected. */
     private static final int MAXIMUM_OBSERVATION_AGE_MILLISECONDS = 60_000;
 
+    /** The maximum age of a crash or an answer. A digest with an older one is rejected. */
+    private static final int MAXIMUM_SUSPICION_AGE_MILLISECONDS = 600_000;
+
     /** The maximum length of a name, address or key, in characters. */
     private static final int MAXIMUM_TEXT_CHARACTERS = 255;
 
@@ -72,7 +75,8 @@
         for (Crash crash : digest.crashes()) {
             message.addCrashes(CrashMessage.newBuilder()
                     .setFingerprint(crash.fingerprint())
-                    .setServer(crash.server()));
+                    .setServer(crash.server())
+                    .setAgeMilliseconds(ageMilliseconds(crash.endedAt(), now)));
         }
         digest.blockedRequests()
                 .forEach((fingerprint, seconds) -> message.addConvictions(ConvictionMessage.newBuilder()
@@ -96,7 +100,7 @@
         SightingMessage.Builder message = SightingMessage.newBuilder()
                 .setServer(observation.server())
                 .setKind(observation.kind().ordinal())
-                .setAgeMilliseconds((int) Math.max(0, (now - observation.observedAt()) / NANOSECONDS_PER_MILLISECOND));
+                .setAgeMilliseconds(ageMilliseconds(observation.observedAt(), now));
         if (observation.report() != null) {
             message.setInFlight(observation.report().inFlight())
                     .setSlots(observation.report().slots())
@@ -107,6 +111,33 @@
         return message;
     }
 
+    /**
+     * Returns the age of an event, which is sent in place of its time because the clocks of two hosts are not
+     * comparable.
+     *
+     * @param time the time of the event in nanoseconds
+     * @param now the current time in nanoseconds
+     * @return the age in milliseconds, zero for a time in the future
+     */
+    private static int ageMilliseconds(long time, long now) {
+        return (int) Math.max(0, (now - time) / NANOSECONDS_PER_MILLISECOND);
+    }
+
+    /**
+     * Returns the time of an event on the clock of this host.
+     *
+     * @param ageMilliseconds the age of the event in milliseconds
+     * @param now the current time in nanoseconds
+     * @return the time in nanoseconds
+     * @throws PeerMessageException if the event is older than suspicions last
+     */
+    private static long timeOf(int ageMilliseconds, long now) throws PeerMessageException {
+        if (ageMilliseconds < 0 || ageMilliseconds > MAXIMUM_SUSPICION_AGE_MILLISECONDS) {
+            throw new PeerMessageException("a crash or answer has the age " + ageMilliseconds + " ms");
+        }
+        return now - ageMilliseconds * NANOSECONDS_PER_MILLISECOND;
+    }
+
     /**
      * Encodes published items and removals.
      *
@@ -153,7 +184,8 @@
         }
         List<Crash> crashes = new ArrayList<>();
         for (CrashMessage crash : message.getCrashesList()) {
-            crashes.add(new Crash(crash.getFingerprint(), checkText(crash.getServer())));
+            long endedAt = timeOf(crash.getAgeMilliseconds(), now);
+            crashes.add(new Crash(crash.getFingerprint(), checkText(crash.getServer()), endedAt));
         }
         Map<Long, Integer> blockedRequests = new HashMap<>();
         message.getConvictionsList()
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/AttemptState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/AttemptState.java
@@ -23,6 +23,9 @@
     /** What is known about the attempt's effect. */
     private Evidence evidence = Evidence.NOT_SENT;
 
+    /** Whether the backend server has answered, even if only with an error or a refusal. */
+    private boolean answered;
+
     /** Whether the attempt has ended. */
     private boolean ended;
 
@@ -57,6 +60,16 @@
         sentAt = now;
     }
 
+    /** Records that the backend server has answered, even if only with an error or a refusal. */
+    public void recordAnswer() {
+        answered = true;
+    }
+
+    /** Returns whether the backend server has answered, even if only with an error or a refusal. */
+    public boolean answered() {
+        return answered;
+    }
+
     /** Records that the backend server refused the request, which proves that it did not run. */
     public void recordRefusal() {
         evidence = Evidence.REFUSED;
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerCondition.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerCondition.java
@@ -50,6 +50,15 @@
     /** Whether the backend server was found unreachable and has not been reached since; the status may have expired. */
     private boolean unreachable;
 
+    /** The time of the latest sign that the process runs. */
+    private long lastAliveAt = Long.MIN_VALUE / 2;
+
+    /** Whether the backend server was found unreachable after the latest sign that its process runs. */
+    private boolean silent;
+
+    /** The time at which it was first found unreachable after that sign. */
+    private long silentSince;
+
     /** The time at which the unhealthy status expires. */
     private long unhealthyUntil;
 
@@ -134,6 +143,10 @@
      * @param now the current time
      */
     public void markUnreachable(long now) {
+        if (!silent) {
+            silent = true;
+            silentSince = now;
+        }
         unreachable = true;
         unreachableUntil = now + STATUS_LIFETIME_NANOSECONDS;
     }
@@ -143,6 +156,31 @@
         unreachable = false;
     }
 
+    /**
+     * Records a sign that the process of the backend server runs, such as an answer.
+     *
+     * @param observedAt the time of the sign; earlier than the current time if another host observed it
+     */
+    public void recordAlive(long observedAt) {
+        lastAliveAt = Math.max(lastAliveAt, observedAt);
+        silent &= lastAliveAt - silentSince <= 0;
+    }
+
+    /** Returns the time of the latest sign that the process runs, a time in the distant past if there was none. */
+    public long lastAliveAt() {
+        return lastAliveAt;
+    }
+
+    /** Returns whether the backend server was found unreachable after the latest sign that its process runs. */
+    public boolean isSilent() {
+        return silent;
+    }
+
+    /** Returns the time at which it was first found unreachable after the latest sign that its process runs. */
+    public long silentSince() {
+        return silentSince;
+    }
+
     /**
      * Returns whether the backend server was found unreachable within the status lifetime and has not been reached
      * since.
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -296,6 +296,11 @@
         return server.identity();
     }
 
+    /** Returns the name of its process, which differs after a restart if the backend server announces itself. */
+    public String processName() {
+        return incarnation == 0 ? identity() : identity() + '/' + incarnation;
+    }
+
     /** Returns the address. */
     public String address() {
         return server.address();
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
@@ -14,6 +14,7 @@
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.health.HealthCheckResult;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -116,6 +117,18 @@
             assertThat(harness.core().poisonRequests().blocked(99, harness.now()), equalTo(false));
         }
 
+        @Test
+        void connectionBrokenByServerThatGoesOnRunningBlocksNothing() {
+            CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(14));
+            for (int round = 0; round < 5; round++) {
+                Decision.Send broken = crash(harness, 99);
+                harness.advance(200);
+                harness.handle(new Event.HealthChecked(broken.address(), HealthCheckResult.SERVING));
+                harness.advance(2000);
+            }
+            assertThat(harness.core().poisonRequests().blocked(99, harness.now()), equalTo(false));
+        }
+
         @Test
         void neverBlocksRequestsRunningBesideCrashes() {
             CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(14));
