Run a suspected request at a backend server that has not ended under it

The rank of a backend server for a suspected request was asked for by address, while ends are recorded by process, so that an announced server, whose identity is not its address, was chosen again after it had broken the request's connection. A server that cannot be reached was also reserved, and the request then ran there against a dead process or waited for it. Ruled out: recording ends by address, which another server may take over. Change: the rank asks by process, and an unreachable server is not reserved. QuarantineTest fails in both cases before.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
@@ -84,13 +84,15 @@
 
     /** Returns the rank of a backend server for a suspected call; the lowest is best. */
     private static int rank(ServerState server, CallState call, PoisonRequests poisonRequests) {
-        boolean failed = poisonRequests.failedAt(call.terms().fingerprint(), server.address());
+        boolean failed = poisonRequests.failedAt(call.terms().fingerprint(), server.processName());
         return server.ownInFlight() + (failed ? FAILED_SERVER_RANK : 0);
     }
 
-    /** Returns whether a backend server is neither leaving nor ejected. */
+    /** Returns whether a backend server is in service, not ejected and not known to be unreachable. */
     private static boolean usable(ServerState server, long now) {
-        return server.leavingCause() == LeavingCause.NONE && !server.ejected(now);
+        return server.leavingCause() == LeavingCause.NONE
+                && !server.ejected(now)
+                && !server.condition().isUnreachable(now);
     }
 
     /** Returns the backend server that is reserved for a suspected call, or {@code null} if there is none. */
