Check a request again that becomes blocked while it waits or connects

A block was looked at when a request arrived and when it was retried. Change: waiting calls whose request is blocked are refused at once as not run; the last check before the first byte withdraws an attempt; a suspected request gets no second copy beside the first. FailingServersTest: withdrawsRequestThatIsBlockedWhileItsConnectionIsEstablished and refusesWaitingRequestAsSoonAsItIsBlocked fail before. No scene of CrashingRequestTest depends on it: there the block is known late in the fleet, not late at a gateway.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
@@ -113,6 +113,7 @@
         while (call != null) {
             boolean noneWaiting = service.waitingCalls().size() == 0;
             boolean mayHedge = call.phase() == CallPhase.ATTEMPTING
+                    && !poisonRequests.suspected(call.terms().fingerprint(), now)
                     && call.openAttemptCount() == 1
                     && call.sentAttemptCount() < call.terms().maximumAttempts();
             ServerState server = noneWaiting && mayHedge ? selector.selectIdle(service, call, now) : null;
@@ -135,7 +136,8 @@
         AttemptState attempt = service.hedgeCandidates().pollDue(service.workTimes(), now);
         while (attempt != null) {
             CallState call = attempt.call();
-            boolean mayHedge = call.openAttemptCount() == 1
+            boolean mayHedge = !poisonRequests.suspected(call.terms().fingerprint(), now)
+                    && call.openAttemptCount() == 1
                     && call.sentAttemptCount() < call.terms().maximumAttempts();
             ServerState server = mayHedge ? selector.selectIdle(service, call, now) : null;
             boolean fastEnough = server != null
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -69,6 +69,10 @@
             sink.decide(new Decision.Withdraw(identifier));
             return;
         }
+        if (poisonRequests.refuses(attempt.call().terms().fingerprint(), now)) {
+            withdrawPoison(attempt, now, sink);
+            return;
+        }
         boolean late = attempt.call().terms().deadline() - now <= 0;
         boolean leaving = attempt.server().leavingCause() != LeavingCause.NONE || isRemoved(attempt.server());
         if (late || leaving) {
@@ -89,6 +93,17 @@
         sink.decide(new Decision.Proceed(identifier));
     }
 
+    /** Withdraws an attempt of a request that has become blocked while the connection was established. */
+    private void withdrawPoison(AttemptState attempt, long now, DecisionSink sink) {
+        sink.decide(new Decision.Withdraw(attempt.identifier()));
+        openCalls.endAttempt(attempt.identifier());
+        refundRetry(attempt, now);
+        if (attempt.call().openAttemptCount() == 0) {
+            finalAnswers.abandon(attempt.call(), Reason.CONVICTED, now, sink);
+        }
+        continuation.launchWaiting(attempt.call(), now, sink);
+    }
+
     /** Returns whether no service contains the backend server any more. */
     private boolean isRemoved(ServerState server) {
         return services.server(server.identity()) != server;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
@@ -1,5 +1,6 @@
 package org.chivecourse.coordination.call;
 
+import java.util.function.Predicate;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.limit.ExpectedWait;
@@ -124,6 +125,26 @@
         return service != null && !blocked && RetryRule.INSTANCE.allows(call, service.retryBudget(), now);
     }
 
+    /** Abandons waiting calls whose request has become blocked since they began to wait. */
+    void abandonPoison(ServiceState service, long now, DecisionSink sink) {
+        CallState call = findPoison(service, now);
+        while (call != null) {
+            finalAnswers.abandon(call, Reason.CONVICTED, now, sink);
+            call = findPoison(service, now);
+        }
+    }
+
+    /** Returns a waiting call whose request is blocked, or {@code null} if there is none. */
+    private CallState findPoison(ServiceState service, long now) {
+        if (!poisonRequests.refusesAny(now)) {
+            return null;
+        }
+        Predicate<CallState> blocked =
+                call -> poisonRequests.refuses(call.terms().fingerprint(), now);
+        CallState suspected = service.quarantine().findFirst(blocked);
+        return suspected != null ? suspected : service.waitingCalls().findFirst(blocked);
+    }
+
     /**
      * Moves waiting calls that miss their target latency behind the others, and abandons those that can no longer be
      * answered before their deadline.
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -138,9 +138,10 @@
         useAvailableCapacity(now, sink);
     }
 
-    /** Abandons waiting calls that are too late, and starts attempts and hedges wherever backend servers have room. */
+    /** Abandons waiting calls that are blocked or too late, and starts attempts and hedges wherever backend servers have room. */
     public void useAvailableCapacity(long now, DecisionSink sink) {
         for (ServiceState service : services.all()) {
+            continuation.abandonPoison(service, now, sink);
             continuation.abandonLate(service, now, sink);
             launcher.launchWaiting(service, now, sink);
             launcher.launchHedges(service, now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -42,6 +42,9 @@
     /** The ends of backend servers that coincided with requests. */
     private final ServerEnds serverEnds = new ServerEnds();
 
+    /** The time until which a request may be refused, in nanoseconds. */
+    private long refusalsPossibleUntil = Long.MIN_VALUE / 2;
+
     /**
      * Records that a backend server broke the connection of a request before its answer, and may have ended. {@link
      * #recordCrash} or {@link #dismiss} has to follow.
@@ -80,6 +83,9 @@
         suspicion.lastChangedAt = crash.endedAt();
         suspicion.crashes.put(crash.server(), new KnownCrash(crash, now));
         serverEnds.record(crash);
+        if (suspicion.crashes.size() >= SERVERS_TO_BLOCK - 1) {
+            refusalsPossibleUntil = Math.max(refusalsPossibleUntil, crash.endedAt() + BLOCK_NANOSECONDS);
+        }
         int counted = countedServers(crash.fingerprint(), suspicion);
         if (counted >= SERVERS_TO_BLOCK) {
             suspicion.blockedUntil = crash.endedAt() + BLOCK_NANOSECONDS;
@@ -124,6 +130,7 @@
         Suspicion suspicion = suspicionOf(fingerprint, now);
         suspicion.lastChangedAt = now;
         suspicion.blockedUntil = Math.max(until, suspicion.blockedUntil);
+        refusalsPossibleUntil = Math.max(until, refusalsPossibleUntil);
     }
 
     /** Returns whether a request is suspected but not blocked. */
@@ -174,6 +181,11 @@
                 && countedServers(fingerprint, suspicion) >= SERVERS_TO_BLOCK - 1;
     }
 
+    /** Returns whether any request may be refused now, as a quick check before calls are searched. */
+    public boolean refusesAny(long now) {
+        return now - refusalsPossibleUntil < 0;
+    }
+
     /** Returns the remaining time of each block in nanoseconds, by the fingerprint of the request. */
     public Map<Long, Long> blockedRequests(long now) {
         Map<Long, Long> remaining = new LinkedHashMap<>();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Predicate;
 import org.chivecourse.state.call.AttemptState;
 import org.chivecourse.state.call.CallPhase;
 import org.chivecourse.state.call.CallState;
@@ -95,6 +96,14 @@
                 && !server.condition().isUnreachable(now);
     }
 
+    /** Returns the first waiting call that meets a condition, or {@code null} if none does. */
+    public CallState findFirst(Predicate<CallState> condition) {
+        return waiting.stream()
+                .filter(call -> call.phase() == CallPhase.WAITING && condition.test(call))
+                .findFirst()
+                .orElse(null);
+    }
+
     /** Returns the backend server that is reserved for a suspected call, or {@code null} if there is none. */
     public ServerState reserved() {
         return reserved;
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
@@ -1,6 +1,7 @@
 package org.chivecourse.coordination.host;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -129,6 +130,38 @@
             assertThat(harness.core().poisonRequests().blocked(99, harness.now()), equalTo(false));
         }
 
+        @Test
+        void withdrawsRequestThatIsBlockedWhileItsConnectionIsEstablished() {
+            CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(6));
+            harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", 99));
+            Decision.Send send = harness.onlyDecision(Decision.Send.class);
+            block(harness, 99);
+            assertThat(harness.connect(send), equalTo(false));
+            assertThat(harness.onlyDecision(Decision.Refuse.class).refusal().reason(), equalTo(Reason.CONVICTED));
+        }
+
+        @Test
+        void refusesWaitingRequestAsSoonAsItIsBlocked() {
+            CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(1));
+            for (int call = 0; call < 40; call++) {
+                harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", call));
+                harness.decisions(Decision.Send.class).forEach(harness::connect);
+            }
+            long waiting = harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", 99));
+            assertThat(harness.decisions(Decision.Send.class), empty());
+            block(harness, 99);
+            harness.advance(5);
+            Decision.Refuse refuse = harness.onlyDecision(Decision.Refuse.class);
+            assertThat(refuse.call(), equalTo(waiting));
+            assertThat(refuse.refusal().reason(), equalTo(Reason.CONVICTED));
+        }
+
+        private static void block(CoreHarness harness, long fingerprint) {
+            harness.core()
+                    .poisonRequests()
+                    .block(fingerprint, harness.now() + PoisonRequests.BLOCK_NANOSECONDS, harness.now());
+        }
+
         @Test
         void neverBlocksRequestsRunningBesideCrashes() {
             CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(14));
