Repeat crashes and blocks until every gateway has them

Of blocks a digest held the first eight, always the same ones; both exchanges had this. Change: besides the report at once, digests repeat crashes that are new to their sender for 3 s, and those of requests under which two servers have ended for as long as they are suspected, in turn, every 200 ms within a data centre and each second between them. Blocks go in turn too. FleetExchangeTest.CrashReports: three tests (first report lost, every gateway of large data centres, restart 20 s later) fail before; FailingServersTest.tellsOtherHostsAllBlocksInTurn needs the new method.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
@@ -23,6 +23,15 @@
     /** The maximum number of blocked requests in a digest. */
     private static final int MAXIMUM_BLOCKED_REQUESTS = 8;
 
+    /**
+     * The maximum number of crashes of backend servers, and of answers to suspected requests, in a digest that has much
+     * else to hold.
+     */
+    private static final int FEW_SUSPICIONS = 3;
+
+    /** The maximum number of crashes of backend servers, and of answers to suspected requests, in any digest. */
+    private static final int MAXIMUM_SUSPICIONS = 8;
+
     /** The number of nanoseconds in a second. */
     private static final long NANOSECONDS_PER_SECOND = 1_000_000_000L;
 
@@ -82,7 +91,7 @@
                 publisherStatus,
                 nextMembers(content.memberCount(), now),
                 content.observations(),
-                content.crashes(),
+                crashes(content, now),
                 blockedRequests(now),
                 content.changes(),
                 peers.fleetSize(),
@@ -105,6 +114,19 @@
         return members;
     }
 
+    /**
+     * Returns the crashes of backend servers to report.
+     *
+     * @param content what the digest holds
+     * @param now the current time in nanoseconds
+     * @return those of the content, or known ones if the digest repeats them
+     */
+    private List<Crash> crashes(Content content, long now) {
+        return content.maximumSuspicions() > 0
+                ? poisonRequests.crashesToShare(content.maximumSuspicions(), now)
+                : content.crashes();
+    }
+
     /**
      * Returns the blocked requests to report, at most {@link #MAXIMUM_BLOCKED_REQUESTS} of them.
      *
@@ -113,11 +135,10 @@
      */
     private Map<Long, Integer> blockedRequests(long now) {
         Map<Long, Integer> blocked = new HashMap<>();
-        poisonRequests.blockedRequests(now).forEach((fingerprint, remaining) -> {
-            if (blocked.size() < MAXIMUM_BLOCKED_REQUESTS) {
-                blocked.put(fingerprint, (int) (remaining / NANOSECONDS_PER_SECOND));
-            }
-        });
+        poisonRequests
+                .blocksToShare(MAXIMUM_BLOCKED_REQUESTS, now)
+                .forEach((fingerprint, remaining) ->
+                        blocked.put(fingerprint, (int) (remaining / NANOSECONDS_PER_SECOND)));
         return blocked;
     }
 
@@ -127,7 +148,8 @@
      * @param replyRequested whether the recipient is requested to send a digest in return
      * @param memberCount the number of other gateways to name
      * @param observations what was observed of backend servers
-     * @param crashes requests that were running when a backend server failed
+     * @param crashes requests that were running when a backend server ended, none if suspicions are repeated
+     * @param maximumSuspicions the maximum number of known crashes, and of answers to suspected requests, to repeat
      * @param changes published items, {@code null} for none
      */
     record Content(
@@ -135,25 +157,40 @@
             int memberCount,
             List<Observation> observations,
             List<Crash> crashes,
+            int maximumSuspicions,
             FleetDigest.Changes changes) {
 
         /** The content of a digest that reports only the status of its sender. */
-        static final Content STATUS_ONLY = new Content(false, 0, List.of(), List.of(), null);
+        static final Content STATUS_ONLY = new Content(false, 0, List.of(), List.of(), 0, null);
 
         /** The content of a digest that requests a digest in return. */
-        static final Content REQUEST = new Content(true, 0, List.of(), List.of(), null);
+        static final Content REQUEST = new Content(true, 0, List.of(), List.of(), 0, null);
 
         /** The content of the reply to a request. */
-        static final Content REPLY = new Content(false, MAXIMUM_REPLY_MEMBERS, List.of(), List.of(), null);
+        static final Content REPLY =
+                new Content(false, MAXIMUM_REPLY_MEMBERS, List.of(), List.of(), FEW_SUSPICIONS, null);
 
         /**
-         * Creates the content of a regular digest, which names {@link #REGULAR_DIGEST_MEMBERS} other gateways.
+         * Creates the content of a regular digest within a data centre, which names {@link #REGULAR_DIGEST_MEMBERS}
+         * other gateways.
          *
          * @param observations what was observed of backend servers
+         * @param repeating whether known crashes and answers to suspected requests are repeated
+         * @return the content
+         */
+        static Content local(List<Observation> observations, boolean repeating) {
+            int maximumSuspicions = repeating ? FEW_SUSPICIONS : 0;
+            return new Content(false, REGULAR_DIGEST_MEMBERS, observations, List.of(), maximumSuspicions, null);
+        }
+
+        /**
+         * Creates the content of a regular digest to another data centre, which names {@link #REGULAR_DIGEST_MEMBERS}
+         * other gateways and repeats known crashes and answers to suspected requests.
+         *
          * @return the content
          */
-        static Content regular(List<Observation> observations) {
-            return new Content(false, REGULAR_DIGEST_MEMBERS, observations, List.of(), null);
+        static Content remote() {
+            return new Content(false, REGULAR_DIGEST_MEMBERS, List.of(), List.of(), MAXIMUM_SUSPICIONS, null);
         }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -25,6 +25,9 @@
     /** The interval between two digests to local peers while no observation is pending, in nanoseconds. */
     static final long IDLE_LOCAL_DIGEST_INTERVAL_NANOSECONDS = 200_000_000L;
 
+    /** The interval at which crashes and answers to suspected requests are repeated to local peers, in nanoseconds. */
+    private static final long SUSPICION_REPETITION_INTERVAL_NANOSECONDS = 200_000_000L;
+
     /** The interval between two digests to a gateway of another data centre, in nanoseconds. */
     static final long REMOTE_DIGEST_INTERVAL_NANOSECONDS = 1_000_000_000L;
 
@@ -70,6 +73,9 @@
     /** The time of the last digest to local peers, in nanoseconds. */
     private long lastLocalDigestAt;
 
+    /** The time of the last digest to local peers that repeated crashes and answers to suspected requests. */
+    private long lastRepetitionAt;
+
     /** The time of the last check for due gateways of other data centres, in nanoseconds. */
     private long lastRemoteCheckAt;
 
@@ -170,7 +176,9 @@
             }
         }
         if (!localPeers.isEmpty()) {
-            send(localPeers, composer.compose(Content.regular(observations.pollLocal()), now), now, sink);
+            boolean repeating = now - lastRepetitionAt >= SUSPICION_REPETITION_INTERVAL_NANOSECONDS;
+            lastRepetitionAt = repeating ? now : lastRepetitionAt;
+            send(localPeers, composer.compose(Content.local(observations.pollLocal(), repeating), now), now, sink);
         }
     }
 
@@ -197,7 +205,7 @@
     private void sendCrashes(long now, DecisionSink sink) {
         List<Crash> crashes = observations.pollCrashes();
         if (!crashes.isEmpty()) {
-            Content content = new Content(false, 0, List.of(), crashes, null);
+            Content content = new Content(false, 0, List.of(), crashes, 0, null);
             send(peers.live(now), composer.compose(content, now), now, sink);
         }
     }
@@ -223,7 +231,7 @@
         if (due.isEmpty()) {
             return;
         }
-        send(due, composer.compose(Content.regular(List.of()), now), now, sink);
+        send(due, composer.compose(Content.remote(), now), now, sink);
     }
 
     /**
@@ -245,7 +253,7 @@
         List<Observation> observed = observations.pollRemote();
         List<FleetPeer> recipients = RelayElection.INSTANCE.recipients(peers, now);
         if (!observed.isEmpty() && !recipients.isEmpty()) {
-            send(recipients, composer.compose(new Content(false, 0, observed, List.of(), null), now), now, sink);
+            send(recipients, composer.compose(new Content(false, 0, observed, List.of(), 0, null), now), now, sink);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -263,7 +263,7 @@
         }
         boolean forwards = BridgeElection.INSTANCE.mustForward(peers) && RelayElection.INSTANCE.isRelay(peers, now);
         if (!local && publishedState.revision() > previousRevision && forwards) {
-            Content content = new Content(false, 0, List.of(), List.of(), digest.changes());
+            Content content = new Content(false, 0, List.of(), List.of(), 0, digest.changes());
             DigestSchedule.send(peers.liveLocal(now), composeDigest(content, now), now, sink);
         }
         boolean senderAhead = digest.publisherStatus().revision() > publishedState.revision();
@@ -356,7 +356,7 @@
             bytes += item.key().length() + (item.removed() ? 0 : item.value().length);
         }
         boolean fits = bytes <= MAXIMUM_INLINE_CHANGES_BYTES && changes.after() > 0;
-        Content content = new Content(false, 0, List.of(), List.of(), fits ? changes : null);
+        Content content = new Content(false, 0, List.of(), List.of(), 0, fits ? changes : null);
         DigestSchedule.send(peers.live(now), composeDigest(content, now), now, sink);
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/membership/PeerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/membership/PeerExchange.java
@@ -188,11 +188,10 @@
      */
     private PeerDigest composeDigest(boolean replyRequested, long now) {
         Map<Long, Integer> blocked = new HashMap<>();
-        poisonRequests.blockedRequests(now).forEach((fingerprint, remaining) -> {
-            if (blocked.size() < MAXIMUM_BLOCKED_REQUESTS) {
-                blocked.put(fingerprint, (int) (remaining / NANOSECONDS_PER_SECOND));
-            }
-        });
+        poisonRequests
+                .blocksToShare(MAXIMUM_BLOCKED_REQUESTS, now)
+                .forEach((fingerprint, remaining) ->
+                        blocked.put(fingerprint, (int) (remaining / NANOSECONDS_PER_SECOND)));
         return new PeerDigest(
                 settings.name(),
                 settings.incarnation(),
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -45,6 +45,12 @@
     /** The time until which a request may be refused, in nanoseconds. */
     private long refusalsPossibleUntil = Long.MIN_VALUE / 2;
 
+    /** The number of crashes returned for other hosts so far, from which the next selection continues. */
+    private int nextCrash;
+
+    /** The number of blocks returned for other hosts so far, from which the next selection continues. */
+    private int nextBlock;
+
     /**
      * Records that a backend server broke the connection of a request before its answer, and may have ended. {@link
      * #recordCrash} or {@link #dismiss} has to follow.
@@ -197,6 +203,45 @@
         return remaining;
     }
 
+    /** Returns blocked requests for other hosts as {@link #blockedRequests} does; consecutive calls return all. */
+    public Map<Long, Long> blocksToShare(int maximum, long now) {
+        List<Map.Entry<Long, Long>> all = List.copyOf(blockedRequests(now).entrySet());
+        Map<Long, Long> selected = new LinkedHashMap<>();
+        select(all, nextBlock, maximum).forEach(entry -> selected.put(entry.getKey(), entry.getValue()));
+        nextBlock += selected.size();
+        return selected;
+    }
+
+    /**
+     * Returns crashes for other hosts: new ones, and all those of requests that are suspected repeatedly. Consecutive
+     * calls return all.
+     */
+    public List<Crash> crashesToShare(int maximum, long now) {
+        List<Crash> all = new ArrayList<>();
+        for (Suspicion suspicion : suspicions.values()) {
+            boolean repeated = suspicion.crashes.size() >= SERVERS_TO_RETAIN;
+            for (KnownCrash known : suspicion.crashes.values()) {
+                boolean fresh = now - known.learntAt() < REPETITION_NANOSECONDS;
+                boolean expired = now - known.crash().endedAt() >= SUSPICION_NANOSECONDS;
+                if (!suspicion.blocked(now) && !expired && (repeated || fresh)) {
+                    all.add(known.crash());
+                }
+            }
+        }
+        List<Crash> selected = select(all, nextCrash, maximum);
+        nextCrash += selected.size();
+        return selected;
+    }
+
+    /** Returns up to a maximum of elements, starting at an index that may exceed the size. */
+    private static <T> List<T> select(List<T> all, int first, int maximum) {
+        List<T> selected = new ArrayList<>();
+        for (int count = 0; count < Math.min(maximum, all.size()); count++) {
+            selected.add(all.get(Math.floorMod(first + count, all.size())));
+        }
+        return selected;
+    }
+
     /** Returns the record of a request, a new one if there is none. */
     private Suspicion suspicionOf(long fingerprint, long now) {
         Suspicion suspicion = suspicions.get(fingerprint);
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -282,6 +282,58 @@
         }
     }
 
+    @Nested
+    class CrashReports {
+
+        private static void recordCrash(FleetNetwork network, int host, long fingerprint, String server) {
+            Crash crash = new Crash(fingerprint, server, network.now());
+            network.core(host).services().recordCrash(crash);
+            network.core(host).poisonRequests().recordCrash(crash, network.now());
+        }
+
+        @Test
+        void repeatsCrashWhoseFirstReportIsLost() {
+            FleetNetwork network = startedFleet();
+            network.setDigestLoss(1);
+            recordCrash(network, 2, 77, "i1");
+            network.advance(50);
+            network.setDigestLoss(0);
+            network.advance(1500);
+            for (HostCore core : network.cores()) {
+                assertThat(core.poisonRequests().failedServerCount(77), equalTo(1));
+            }
+        }
+
+        @Test
+        void forwardsCrashFromEveryGatewayOfLargeDataCentres() {
+            FleetNetwork network = new FleetNetwork(36);
+            network.advance(4000);
+            for (int host = 0; host < 36; host++) {
+                recordCrash(network, host, 100 + host, "i" + host);
+                network.advance(300);
+            }
+            network.advance(2500);
+            for (HostCore core : network.cores()) {
+                for (int host = 0; host < 36; host++) {
+                    assertThat(
+                            "crash at host-" + host, core.poisonRequests().failedServerCount(100 + host), equalTo(1));
+                }
+            }
+        }
+
+        @Test
+        void restartedGatewayLearnsEarlierCrashesOfRepeatedlySuspectedRequest() {
+            FleetNetwork network = startedFleet();
+            recordCrash(network, 2, 77, "i1");
+            recordCrash(network, 2, 77, "i2");
+            network.advance(20_000);
+            network.kill(7);
+            network.start(7);
+            network.advance(2000);
+            assertThat(network.core(7).poisonRequests().failedServerCount(77), equalTo(2));
+        }
+    }
+
     @Nested
     class PublisherOutages {
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
@@ -156,6 +156,19 @@
             assertThat(refuse.refusal().reason(), equalTo(Reason.CONVICTED));
         }
 
+        @Test
+        void tellsOtherHostsAllBlocksInTurn() {
+            PoisonRequests requests = new PoisonRequests();
+            Set<Long> told = new HashSet<>();
+            for (long fingerprint = 0; fingerprint < 20; fingerprint++) {
+                requests.block(fingerprint, PoisonRequests.BLOCK_NANOSECONDS, 0);
+            }
+            for (int digest = 0; digest < 3; digest++) {
+                told.addAll(requests.blocksToShare(8, 0).keySet());
+            }
+            assertThat(told, hasSize(20));
+        }
+
         private static void block(CoreHarness harness, long fingerprint) {
             harness.core()
                     .poisonRequests()
