Let only a good answer clear a suspicion, on all gateways

An answer of any status cleared a request, also a backend server's error that says nothing of the run, and only at the gateway that forwarded it. Change: an answer below 500 clears the crashes before it, and digests tell the others the time of that answer, by which they drop the same crashes, in whatever order the messages come. A block is still not lifted by an answer.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -182,8 +182,8 @@
             }
         } else {
             recordSuccess(attempt, now);
+            poisonRequests.recordAnswer(attempt.call().terms().fingerprint(), now, now);
         }
-        poisonRequests.recordAnswer(attempt.call().terms().fingerprint());
         attempt.call().enterPhase(CallPhase.DELIVERING);
         openCalls.dropAttemptsExcept(attempt.call(), attempt, sink);
         sink.decide(new Decision.Deliver(attempt.call().identifier(), attempt.identifier()));
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
@@ -92,6 +92,7 @@
                 nextMembers(content.memberCount(), now),
                 content.observations(),
                 crashes(content, now),
+                poisonRequests.answersToShare(content.maximumSuspicions(), now),
                 blockedRequests(now),
                 content.changes(),
                 peers.fleetSize(),
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -11,6 +11,7 @@
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.coordination.publication.PublicationPoller;
 import org.chivecourse.coordination.publication.PublishedState;
+import org.chivecourse.state.fleet.AnsweredRequest;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.Member;
@@ -210,6 +211,9 @@
                 services.observations().addForLocal(observation);
             }
         }
+        for (AnsweredRequest answered : digest.answeredRequests()) {
+            poisonRequests.recordAnswer(answered.fingerprint(), answered.answeredAt(), now);
+        }
         for (Crash crash : digest.crashes()) {
             CrashFinding finding = poisonRequests.recordCrash(crash, now);
             finding.audit(crash, sender.member().name(), revision(), sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/CrashFinding.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/CrashFinding.java
@@ -24,6 +24,14 @@
         }
     },
 
+    /** The request has been answered since. */
+    ANSWERED_SINCE {
+        @Override
+        boolean changesNothing() {
+            return true;
+        }
+    },
+
     /** It was recorded before. */
     KNOWN {
         @Override
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -4,13 +4,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.chivecourse.state.fleet.AnsweredRequest;
 import org.chivecourse.state.fleet.Crash;
 
 /**
  * Records which requests were running when backend servers ended, and blocks those that end them.
  *
  * <p>A request is suspected from the first such coincidence. It is blocked once {@link #SERVERS_TO_BLOCK} different
- * backend servers have ended under it. An answer clears the earlier coincidences. While several other backend servers end that no request explains, coincidences within a second count as
+ * backend servers have ended under it. An answer proves that the request does not end servers and clears the earlier
+ * coincidences. While several other backend servers end that no request explains, coincidences within a second count as
  * one, so that the loss of a rack blocks nothing.
  *
  * <p>The record is a union of what all hosts found: the order in which crashes, answers and blocks arrive does not
@@ -48,6 +50,9 @@
     /** The number of crashes returned for other hosts so far, from which the next selection continues. */
     private int nextCrash;
 
+    /** The number of answers returned for other hosts so far, from which the next selection continues. */
+    private int nextAnswer;
+
     /** The number of blocks returned for other hosts so far, from which the next selection continues. */
     private int nextBlock;
 
@@ -82,6 +87,9 @@
         if (suspicion.blockedUntil != 0) {
             return CrashFinding.BLOCKED_BEFORE;
         }
+        if (suspicion.answered && crash.endedAt() - suspicion.answeredAt <= 0) {
+            return CrashFinding.ANSWERED_SINCE;
+        }
         if (suspicion.crashes.containsKey(crash.server())) {
             return CrashFinding.KNOWN;
         }
@@ -119,10 +127,24 @@
         return false;
     }
 
-    /** Clears the suspicion of a request that was answered. A block is not lifted. */
-    public void recordAnswer(long fingerprint) {
+    /**
+     * Records that a backend server ran a request to a good end. Clears earlier coincidences. A block is not lifted.
+     *
+     * @param answeredAt the time of the answer in nanoseconds
+     */
+    public void recordAnswer(long fingerprint, long answeredAt, long now) {
         Suspicion suspicion = suspicions.get(fingerprint);
-        if (suspicion != null && suspicion.blockedUntil == 0) {
+        if (suspicion == null || suspicion.blockedUntil != 0) {
+            return;
+        }
+        suspicion.unconfirmed.clear();
+        boolean known = suspicion.answered && answeredAt - suspicion.answeredAt <= 0;
+        boolean cleared =
+                suspicion.crashes.values().removeIf(crash -> crash.crash().endedAt() - answeredAt <= 0);
+        if (!known && cleared) {
+            suspicion.recordAnswer(answeredAt, now);
+        }
+        if (suspicion.empty()) {
             suspicions.remove(fingerprint);
         }
     }
@@ -233,6 +255,19 @@
         return selected;
     }
 
+    /** Returns new answers to suspected requests for other hosts. Consecutive calls return all. */
+    public List<AnsweredRequest> answersToShare(int maximum, long now) {
+        List<AnsweredRequest> all = new ArrayList<>();
+        suspicions.forEach((fingerprint, suspicion) -> {
+            if (suspicion.answered && now - suspicion.answerLearntAt < REPETITION_NANOSECONDS) {
+                all.add(new AnsweredRequest(fingerprint, suspicion.answeredAt));
+            }
+        });
+        List<AnsweredRequest> selected = select(all, nextAnswer, maximum);
+        nextAnswer += selected.size();
+        return selected;
+    }
+
     /** Returns up to a maximum of elements, starting at an index that may exceed the size. */
     private static <T> List<T> select(List<T> all, int first, int maximum) {
         List<T> selected = new ArrayList<>();
@@ -292,12 +327,29 @@
         /** The times of broken connections by process of the backend server, which may have ended. */
         private final Map<String, Long> unconfirmed = new LinkedHashMap<>();
 
+        /** Whether an answer cleared earlier crashes. */
+        private boolean answered;
+
+        /** The time of the latest such answer, in nanoseconds. */
+        private long answeredAt;
+
+        /** The time at which this host learnt of that answer, in nanoseconds. */
+        private long answerLearntAt;
+
         /** The time of the last coincidence, answer or report that the request is blocked, in nanoseconds. */
         private long lastChangedAt;
 
         /** The time until which the request is blocked, in nanoseconds; zero unless it is blocked. */
         private long blockedUntil;
 
+        /** Records an answer that cleared crashes. */
+        void recordAnswer(long at, long now) {
+            answered = true;
+            answeredAt = at;
+            answerLearntAt = now;
+            lastChangedAt = now;
+        }
+
         /** Returns the number of backend servers that ended or may have ended. */
         int coincidences() {
             return crashes.size() + unconfirmed.size();
@@ -305,7 +357,7 @@
 
         /** Returns whether nothing has to be remembered. */
         boolean empty() {
-            return coincidences() == 0 && blockedUntil == 0;
+            return coincidences() == 0 && !answered && blockedUntil == 0;
         }
 
         /** Returns whether the request is blocked now. */
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.chivecourse.protocol.peer.generated.AnsweredRequestMessage;
 import org.chivecourse.protocol.peer.generated.ConvictionMessage;
 import org.chivecourse.protocol.peer.generated.CrashMessage;
 import org.chivecourse.protocol.peer.generated.FleetDigestMessage;
@@ -12,6 +13,7 @@
 import org.chivecourse.protocol.peer.generated.PublicationReply;
 import org.chivecourse.protocol.peer.generated.PublishedItemMessage;
 import org.chivecourse.protocol.peer.generated.SightingMessage;
+import org.chivecourse.state.fleet.AnsweredRequest;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.Member;
@@ -78,6 +80,11 @@
                     .setServer(crash.server())
                     .setAgeMilliseconds(ageMilliseconds(crash.endedAt(), now)));
         }
+        for (AnsweredRequest answered : digest.answeredRequests()) {
+            message.addAnsweredRequests(AnsweredRequestMessage.newBuilder()
+                    .setFingerprint(answered.fingerprint())
+                    .setAgeMilliseconds(ageMilliseconds(answered.answeredAt(), now)));
+        }
         digest.blockedRequests()
                 .forEach((fingerprint, seconds) -> message.addConvictions(ConvictionMessage.newBuilder()
                         .setFingerprint(fingerprint)
@@ -187,6 +194,11 @@
             long endedAt = timeOf(crash.getAgeMilliseconds(), now);
             crashes.add(new Crash(crash.getFingerprint(), checkText(crash.getServer()), endedAt));
         }
+        List<AnsweredRequest> answeredRequests = new ArrayList<>();
+        for (AnsweredRequestMessage answered : message.getAnsweredRequestsList()) {
+            long answeredAt = timeOf(answered.getAgeMilliseconds(), now);
+            answeredRequests.add(new AnsweredRequest(answered.getFingerprint(), answeredAt));
+        }
         Map<Long, Integer> blockedRequests = new HashMap<>();
         message.getConvictionsList()
                 .forEach(blocked -> blockedRequests.put(blocked.getFingerprint(), blocked.getSeconds()));
@@ -204,6 +216,7 @@
                 members,
                 observations,
                 crashes,
+                answeredRequests,
                 blockedRequests,
                 message.hasChanges() ? decode(message.getChanges()) : null,
                 message.getFleetSize(),
--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -18,6 +18,7 @@
  * @param members other gateways that the sender knows
  * @param observations observations of backend servers, by the sender or by gateways whose observations it relays
  * @param crashes the requests that were running at backend servers when these failed
+ * @param answeredRequests the suspected requests that backend servers answered
  * @param blockedRequests the remaining seconds for which requests are blocked, by fingerprint
  * @param changes published items, {@code null} if the digest contains none
  * @param fleetSize the number of gateways of the fleet as recorded by the sender, including itself
@@ -33,6 +34,7 @@
         List<Member> members,
         @JsonProperty("sightings") List<Observation> observations,
         List<Crash> crashes,
+        List<AnsweredRequest> answeredRequests,
         @JsonProperty("convictions") Map<Long, Integer> blockedRequests,
         Changes changes,
         int fleetSize,
@@ -43,6 +45,7 @@
         members = List.copyOf(members);
         observations = List.copyOf(observations);
         crashes = List.copyOf(crashes);
+        answeredRequests = answeredRequests == null ? List.of() : List.copyOf(answeredRequests);
         blockedRequests = Map.copyOf(blockedRequests);
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestTest.java
@@ -152,6 +152,21 @@
         });
     }
 
+    /** An ordinary request that is always the same is running whenever a server ends. Its answers have to clear it. */
+    @Test
+    void neverBlocksPopularRequestWhileServersEnd() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            CrashingRequestSimulation simulation = new CrashingRequestSimulation(HOSTS, SERVERS, seed);
+            simulation.popularMilliseconds = 20;
+            simulation.run(0, true, MILLISECONDS, elapsed -> {
+                if (elapsed % 500 == 100) {
+                    simulation.endOtherServers(1);
+                }
+            });
+            assertThat("seed " + seed, simulation.ordinaryBlocked, equalTo(0));
+        }
+    }
+
     /** What happens beside the crashing requests. */
     private static final class Scene {
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
@@ -118,6 +118,18 @@
             assertThat(harness.core().poisonRequests().blocked(99, harness.now()), equalTo(false));
         }
 
+        @Test
+        void serverErrorDoesNotClearSuspicion() {
+            CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(6));
+            crash(harness, 99);
+            harness.advance(2000);
+            harness.arrive(new Arrival(Method.POST, "/jobs/orders", 0, 0, true, "", 99));
+            Decision.Send send = harness.onlyDecision(Decision.Send.class);
+            harness.connect(send);
+            harness.answer(send, 500);
+            assertThat(harness.core().poisonRequests().suspected(99, harness.now()), equalTo(true));
+        }
+
         @Test
         void connectionBrokenByServerThatGoesOnRunningBlocksNothing() {
             CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(14));
--- a/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.chivecourse.coordination.event.Event;
+import org.chivecourse.state.fleet.AnsweredRequest;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.Member;
@@ -47,9 +48,12 @@
                     new Member("front-stellenbosch-" + number, "10.128.200." + number + ":17166", "stellenbosch"));
         }
         List<Crash> crashes = new ArrayList<>();
+        List<AnsweredRequest> answeredRequests = new ArrayList<>();
         Map<Long, Integer> blockedRequests = new HashMap<>();
         for (int number = 0; number < suspicions; number++) {
             crashes.add(new Crash(Long.MAX_VALUE - number, "i-7f3a91c2d" + number + "/1772545767095", NOW_NANOSECONDS));
+            answeredRequests.add(new AnsweredRequest(
+                    Long.MAX_VALUE / 2 - number, NOW_NANOSECONDS - 30 * NANOSECONDS_PER_MILLISECOND));
         }
         for (int number = 0; number < 8; number++) {
             blockedRequests.put(Long.MIN_VALUE + number, 600);
@@ -64,6 +68,7 @@
                 memberList,
                 observations,
                 crashes,
+                answeredRequests,
                 blockedRequests,
                 changes,
                 140,
@@ -142,6 +147,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 Map.of(),
                 null,
                 1,
