Bound the memory, time and connection of an answer to a probe

A health check left such a body draining on its connection, and a trickle kept its server from being probed ever again. Change: the body of an answer to a check is discarded while it arrives, fails beyond 64 KiB, and the whole answer has one timeout, after which the connection is closed.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
@@ -1,7 +1,9 @@
 package org.chivecourse.transport.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -14,6 +16,7 @@
 import org.chivecourse.state.server.LoadReport;
 import org.chivecourse.transport.driver.CoreDriver;
 import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 
@@ -23,6 +26,9 @@
     /** The path of the health endpoint. */
     private static final String HEALTH_PATH = "/health";
 
+    /** The maximum size of the body of an answer to a check, which is not used. */
+    private static final int MAXIMUM_BODY_BYTES = 64 * 1024;
+
     /** The time within which a health check has to be answered. */
     public static final Duration HEALTH_CHECK_TIMEOUT = Duration.ofSeconds(2);
 
@@ -96,16 +102,42 @@
         if (client == null) {
             return;
         }
-        client.responseTimeout(HEALTH_CHECK_TIMEOUT)
-                .get()
-                .uri(HEALTH_PATH)
-                .response()
+        HttpClient.ResponseReceiver<?> receiver = client.get().uri(HEALTH_PATH);
+        readAnswer(receiver, HEALTH_CHECK_TIMEOUT)
                 .map(ServerChecks::toHealthCheckResult)
-                .timeout(HEALTH_CHECK_TIMEOUT)
                 .onErrorReturn(HealthCheckResult.UNREACHABLE)
                 .subscribe(answer -> driver.handle(new Event.HealthChecked(address, answer)));
     }
 
+    /**
+     * Reads an answer to its end and discards its body.
+     *
+     * @param receiver receives the answer
+     * @param timeout the time within which the whole answer has to arrive
+     * @return the header of the answer, or a failure if the answer is late or its body larger than allowed
+     */
+    private static Mono<HttpClientResponse> readAnswer(HttpClient.ResponseReceiver<?> receiver, Duration timeout) {
+        return receiver.response((response, body) -> discard(body).thenReturn(response))
+                .single()
+                .timeout(timeout);
+    }
+
+    /**
+     * Discards a body.
+     *
+     * @param body the body
+     * @return completes at the end of the body, or fails if the body is larger than allowed
+     */
+    private static Mono<Void> discard(ByteBufFlux body) {
+        return body.map(ByteBuf::readableBytes)
+                .scan(0, Integer::sum)
+                .flatMap(size -> size > MAXIMUM_BODY_BYTES
+                        ? Mono.error(
+                                new IOException("the answer to a check has more than " + MAXIMUM_BODY_BYTES + " bytes"))
+                        : Mono.empty())
+                .then();
+    }
+
     /**
      * Converts the answer of a health endpoint to a result. Any status other than 503 counts as serving.
      *
@@ -129,8 +161,7 @@
             return;
         }
         AtomicLong sentAtNanoseconds = new AtomicLong();
-        client.responseTimeout(probeTimeout)
-                .request(HttpMethod.GET)
+        HttpClient.ResponseReceiver<?> receiver = client.request(HttpMethod.GET)
                 .uri(path)
                 .send((request, outbound) -> {
                     driver.handle(new Event.ProbeReady(address));
@@ -139,9 +170,8 @@
                     }
                     sentAtNanoseconds.set(System.nanoTime());
                     return outbound;
-                })
-                .responseSingle((response, body) ->
-                        body.asByteArray().defaultIfEmpty(new byte[0]).map(read -> response))
+                });
+        readAnswer(receiver, probeTimeout)
                 .subscribe(
                         response -> handleProbeAnswer(address, sentAtNanoseconds.get(), response),
                         failure -> handleProbeFailure(address, sentAtNanoseconds.get()));
