Probe a server without a report once an interval

Found while an endless answer to a probe was tried: the interval between probes was counted from the last report of load, so that a server without one, since it is dead or answers nothing usable, was probed again as soon as a probe had failed: 191 times in 2 s on virtual time, against 60 an upstream and second that the users allow and 10 that the interval means. Change: the interval also counts from the start of the latest probe. A server that comes back is seen up to an interval later. FleetExchangeTest.probesServerWithoutReportOncePerInterval fails before (191 instead of at most 20).

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
@@ -46,8 +46,11 @@
     /** The time of the last update of the assignments, in nanoseconds. */
     private long assignedAt = Long.MIN_VALUE / 2;
 
-    /** The times at which the probes in progress started, in nanoseconds, by identity of the backend server. */
-    private final Map<String, Long> openProbes = new HashMap<>();
+    /** The times at which the latest probes started, in nanoseconds, by identity of the backend server. */
+    private final Map<String, Long> startTimes = new HashMap<>();
+
+    /** The identities of the backend servers with a probe in progress. */
+    private final Set<String> openProbes = new HashSet<>();
 
     /** Creates probes without assignments. */
     public AssignedProbes(HostSettings settings, ServiceRegistry services, FleetPeers peers) {
@@ -72,17 +75,24 @@
         for (Assignment assignment : assignments) {
             ServerState server = assignment.server();
             boolean fresh = server.hasReport() && now - server.reportedAt() < interval;
-            if (!fresh && server.leavingCause() == LeavingCause.NONE && mayStart(server.identity(), now)) {
-                openProbes.put(server.identity(), now);
+            if (!fresh && server.leavingCause() == LeavingCause.NONE && mayStart(server.identity(), interval, now)) {
+                startTimes.put(server.identity(), now);
+                openProbes.add(server.identity());
                 sink.decide(new Decision.Probe(server.identity(), assignment.path()));
             }
         }
     }
 
-    /** Returns whether no probe of a backend server is in progress, or only one that has timed out. */
-    private boolean mayStart(String identity, long now) {
-        Long started = openProbes.get(identity);
-        return started == null || now - started >= PROBE_TIMEOUT_NANOSECONDS;
+    /**
+     * Returns whether the interval since the start of the latest probe of a backend server has passed, and that probe
+     * has ended or timed out.
+     */
+    private boolean mayStart(String identity, long interval, long now) {
+        Long started = startTimes.get(identity);
+        if (started == null) {
+            return true;
+        }
+        return now - started >= (openProbes.contains(identity) ? PROBE_TIMEOUT_NANOSECONDS : interval);
     }
 
     /** Records that the probe of a backend server ended. */
@@ -116,7 +126,8 @@
             }
         }
         assignments = own;
-        openProbes.keySet().removeIf(identity -> services.server(identity) == null);
+        startTimes.keySet().removeIf(identity -> services.server(identity) == null);
+        openProbes.retainAll(startTimes.keySet());
     }
 
     /**
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -235,6 +235,20 @@
             }
         }
 
+        /** A server that never reports its load, since it is dead or answers nothing usable, costs a probe an interval. */
+        @Test
+        void probesServerWithoutReportOncePerInterval() {
+            FleetNetwork network = fleetWithServersIn("dc-1");
+            network.setListener((host, decision) -> {
+                if (decision instanceof Decision.Probe probe) {
+                    network.scheduleEvent(
+                            host, new Event.ProbeEnded(probe.address(), true, null, 0, ProbeFinding.UNREACHABLE), 1);
+                }
+            });
+            network.advance(2000);
+            assertThat(probingHosts(network, "i1").size(), lessThanOrEqualTo(20));
+        }
+
         @Test
         void anotherGatewayProbesServerWhenProberFails() {
             FleetNetwork network = fleetWithServersIn("dc-1");
