Cut long values in log lines

A line held whole texts that a caller or a backend server sends, such as the identifier of an answer that belongs to another request or an unreadable status line, up to the size of a header: 500 such lines a second are megabytes. Change: a string member is cut at 500 characters. JsonLineTest.cutsLongValue fails before.

--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/JsonLine.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/log/JsonLine.java
@@ -8,11 +8,15 @@
     /** The first character that JSON strings may contain without an escape sequence. */
     private static final char FIRST_PRINTABLE_CHARACTER = ' ';
 
+    /** The maximum length of a string member, in characters. */
+    static final int MAXIMUM_VALUE_CHARACTERS = 500;
+
     /** The text of the object without its closing brace. */
     private final StringBuilder text = new StringBuilder(192).append('{');
 
     /**
-     * Adds a string member.
+     * Adds a string member. Of a value longer than {@link #MAXIMUM_VALUE_CHARACTERS} only the beginning is written,
+     * since it may hold what a caller or a backend server sent.
      *
      * @param name the name of the member
      * @param value the value; the member is omitted if it is empty or {@code null}
@@ -24,10 +28,10 @@
         }
         appendName(name);
         text.append('"');
-        for (int index = 0; index < value.length(); index++) {
+        for (int index = 0; index < Math.min(value.length(), MAXIMUM_VALUE_CHARACTERS); index++) {
             appendEscaped(value.charAt(index));
         }
-        text.append('"');
+        text.append(value.length() > MAXIMUM_VALUE_CHARACTERS ? "...\"" : "\"");
         return this;
     }
 
