End an answer that goes on long after its deadline

A call whose answer had begun was not looked at again: an answer without end that its caller does not close was passed on for good, with its connections and its slot. FleetExchangeTest.cutsAnswerThatGoesOnLongAfterDeadline fails before.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -20,6 +20,18 @@
     /** A whole in percent. */
     private static final long PERCENT = 100;
 
+    /**
+     * The time for which an answer on a host-name route may go on after the deadline of its call, in nanoseconds. Its
+     * caller waits until the deadline; the rest covers slow links.
+     */
+    private static final long ANSWER_OVERTIME_NANOSECONDS = 5_000_000_000L;
+
+    /**
+     * The time for which any other answer may go on after the deadline of its call, in nanoseconds. There, the deadline
+     * only limits the time to the start of an answer that may be large.
+     */
+    private static final long LONG_ANSWER_OVERTIME_NANOSECONDS = 3_600_000_000_000L;
+
     /** The settings of this host. */
     private final HostSettings settings;
 
@@ -132,12 +144,30 @@
                 call.attempts().forEach(attempt -> attemptOutcomes.recordUnanswered(attempt, now));
                 finalAnswers.abandon(call, Reason.DEADLINE_PASSED, now, sink);
                 continuation.launchWaiting(call, now, sink);
+            } else {
+                openCalls.limitDelivery(call, call.terms().deadline() + maximumOvertime(call.terms()));
             }
             call = openCalls.pollExpired(now);
         }
+        endOverdueDeliveries(now, sink);
         useAvailableCapacity(now, sink);
     }
 
+    /** Cuts the answers that go on for too long after the deadline of their call. */
+    private void endOverdueDeliveries(long now, DecisionSink sink) {
+        CallState call = openCalls.pollOverdueDelivery(now);
+        while (call != null) {
+            finalAnswers.finish(call, now, sink);
+            continuation.launchWaiting(call, now, sink);
+            call = openCalls.pollOverdueDelivery(now);
+        }
+    }
+
+    /** Returns the time for which an answer may go on after the deadline of its call, in nanoseconds. */
+    private static long maximumOvertime(CallTerms terms) {
+        return terms.route().isEmpty() ? LONG_ANSWER_OVERTIME_NANOSECONDS : ANSWER_OVERTIME_NANOSECONDS;
+    }
+
     /** Abandons waiting calls that are blocked or too late, and starts attempts and hedges wherever backend servers have room. */
     public void useAvailableCapacity(long now, DecisionSink sink) {
         for (ServiceState service : services.all()) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/OpenCalls.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/OpenCalls.java
@@ -1,7 +1,9 @@
 package org.chivecourse.coordination.call;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.TreeSet;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
@@ -22,6 +24,10 @@
     /** The calls whose deadline has not yet been handled, in the order of their deadlines. */
     private final TreeSet<CallState> deadlines = new TreeSet<>(CallState.BY_DEADLINE);
 
+    /** The calls whose answer was being delivered at their deadline, in the order in which it has to end. */
+    private final PriorityQueue<OverdueDelivery> overdueDeliveries =
+            new PriorityQueue<>(Comparator.comparingLong(OverdueDelivery::until));
+
     /** The number of attempts started so far, which is also the identifier of the last one. */
     private long attemptCount;
 
@@ -93,6 +99,32 @@
         return deadlines.pollFirst();
     }
 
+    /** Limits the delivery of an answer that goes on beyond the deadline of its call. */
+    void limitDelivery(CallState call, long until) {
+        overdueDeliveries.add(new OverdueDelivery(call, until));
+    }
+
+    /** Removes and returns a call whose delivery has lasted too long, or returns {@code null} if there is none. */
+    CallState pollOverdueDelivery(long now) {
+        while (!overdueDeliveries.isEmpty()
+                && (overdueDeliveries.peek().until() - now <= 0
+                        || overdueDeliveries.peek().call().phase() == CallPhase.FINISHED)) {
+            CallState call = overdueDeliveries.poll().call();
+            if (call.phase() != CallPhase.FINISHED) {
+                return call;
+            }
+        }
+        return null;
+    }
+
+    /**
+     * A call whose answer is delivered beyond its deadline.
+     *
+     * @param call the call
+     * @param until the time at which the delivery has to end, in nanoseconds
+     */
+    private record OverdueDelivery(CallState call, long until) {}
+
     /** Returns the number of calls without a final answer. */
     int size() {
         return calls.size();
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -424,6 +424,11 @@
             return new Arrival(Method.POST, "/orders/1", 0, 0, true, "", -1, 7, "jobs.example");
         }
 
+        private static Arrival orderWithDeadline(long milliseconds) {
+            long nanoseconds = milliseconds * FleetNetwork.NANOSECONDS_PER_MILLISECOND;
+            return new Arrival(Method.POST, "/orders/1", nanoseconds, 0, true, "", -1, 7, "jobs.example");
+        }
+
         private static <T extends Decision> List<T> ofType(List<Decision> decisions, Class<T> type) {
             return decisions.stream().filter(type::isInstance).map(type::cast).toList();
         }
@@ -488,6 +493,23 @@
                     equalTo(504));
         }
 
+        @Test
+        void cutsAnswerThatGoesOnLongAfterDeadline() {
+            FleetNetwork network = startedFleet();
+            Decision.Send send = ofType(
+                            network.handle("host-3", new Event.CallArrived(1, orderWithDeadline(2000))),
+                            Decision.Send.class)
+                    .get(0);
+            reportReady(network, send);
+            network.handle(
+                    "host-3", new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(200, false, false, null)));
+            network.advance(2500);
+            assertThat(ofType(network.decisions(3), Decision.Drop.class), empty());
+            network.advance(6000);
+            assertThat(ofType(network.decisions(3), Decision.Drop.class), hasSize(1));
+            assertThat(network.core(3).openCalls(), equalTo(0));
+        }
+
         @Test
         void marksServerReplacedWhenAnotherIdentityAnswers() {
             FleetNetwork network = startedFleet();
