Bound the size of answers, and close the connection of each one that cannot be used

Backend servers may send bytes that are no answer without end. Change: a body larger than largest-body-bytes is cut, as a request's is; an informational status counts as a broken answer; an answer that was dropped while it was passed on never ends like a complete one; the connection of a failed attempt is closed by the attempt, also if the library has let go of it before.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -18,6 +18,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
+import reactor.core.publisher.SynchronousSink;
 import reactor.netty.Connection;
 import reactor.netty.NettyOutbound;
 import reactor.netty.channel.ChannelOperations;
@@ -34,6 +35,9 @@
      */
     private static final long MAXIMUM_BUFFERED_BODY_BYTES = 64 * 1024;
 
+    /** The lowest status code of answers that are not merely informational. */
+    private static final int FIRST_FINAL_STATUS = 200;
+
     /** The decision that started the attempt. */
     private final Decision.Send send;
 
@@ -144,7 +148,9 @@
         HeaderDialect dialect = registry.dialect();
         HttpHeaders headers = head.responseHeaders();
         int status = head.status().code();
-        String mismatch = dialect.mismatchReason(exchange.identifier(), status, headers);
+        String mismatch = status < FIRST_FINAL_STATUS
+                ? "informational status " + status
+                : dialect.mismatchReason(exchange.identifier(), status, headers);
         if (mismatch != null) {
             return reportBrokenAnswer(mismatch);
         }
@@ -236,13 +242,31 @@
                 .inbound()
                 .receive()
                 .retain()
-                .doOnNext(buffer -> receivedLength.addAndGet(buffer.readableBytes()))
+                .handle((ByteBuf buffer, SynchronousSink<ByteBuf> sink) ->
+                        checkMaximum(buffer, receivedLength.addAndGet(buffer.readableBytes()), sink))
                 .concatWith(Mono.defer(() -> checkLength(statedLength, receivedLength.get())))
                 .doOnComplete(this::handleCompletion)
                 .doOnError(this::handleFailure)
                 .doOnCancel(this::drop);
     }
 
+    /**
+     * Passes a buffer of the body on, or fails if the body has become larger than allowed.
+     *
+     * @param buffer the buffer
+     * @param length the length of the body so far
+     * @param sink receives the buffer or the failure
+     */
+    private void checkMaximum(ByteBuf buffer, long length, SynchronousSink<ByteBuf> sink) {
+        if (length <= registry.maximumAnswerBytes()) {
+            sink.next(buffer);
+            return;
+        }
+        buffer.release();
+        closeConnection();
+        sink.error(new IOException("the answer has more than " + registry.maximumAnswerBytes() + " octets"));
+    }
+
     /**
      * Returns the length of the body that the header of the answer states.
      *
@@ -254,13 +278,17 @@
     }
 
     /**
-     * Fails if the length of a body differs from the one that the header states.
+     * Fails if the length of a body differs from the one that the header states, or if its end may be that of the
+     * connection that this gateway closed.
      *
      * @param statedLength the number of octets that the header states, negative if it states none
      * @param receivedLength the number of octets received
      * @return completes if the numbers agree or none is stated, and fails otherwise
      */
-    private static Mono<ByteBuf> checkLength(long statedLength, long receivedLength) {
+    private Mono<ByteBuf> checkLength(long statedLength, long receivedLength) {
+        if (dropped) {
+            return Mono.error(new IOException("the answer was dropped"));
+        }
         if (statedLength < 0 || statedLength == receivedLength) {
             return Mono.empty();
         }
@@ -289,6 +317,7 @@
         }
         String reason = cause.getClass().getSimpleName() + ": " + cause.getMessage();
         registry.log().logAttemptFailure(exchange.identifier(), send, proceeding, reason);
+        closeConnection();
         if (proceeding) {
             driver.handle(new Event.AttemptBroken(send.attempt(), reason));
         } else {
@@ -347,13 +376,14 @@
     }
 
     /**
-     * Closes a connection if the attempt still owns it. Runs on the event loop of the connection, which also returns it
-     * to the pool, so that no other exchange can acquire it in between.
+     * Closes a connection unless another exchange owns it. Runs on the event loop of the connection, which also returns
+     * it to the pool, so that no other exchange can acquire it in between.
      *
      * @param openConnection the connection as this attempt knows it
      */
     private static void closeIfOwned(Connection openConnection) {
-        if (ChannelOperations.get(openConnection.channel()) == openConnection) {
+        ChannelOperations<?, ?> owner = ChannelOperations.get(openConnection.channel());
+        if (owner == null || owner == openConnection) {
             openConnection.channel().close();
         }
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegistry.java
@@ -25,6 +25,9 @@
     /** The log of decisions about single calls. */
     private final CallLog log;
 
+    /** The maximum size of an answer's body. */
+    private final long maximumAnswerBytes;
+
     /** The open exchanges with callers, by identifier of the call. */
     private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
 
@@ -39,18 +42,21 @@
      * @param metrics the metrics of exchanges and attempts
      * @param dialect the header fields of callers and backend servers
      * @param log the log of decisions about single calls
+     * @param maximumAnswerBytes the maximum size of an answer's body
      */
     public ExchangeRegistry(
             CoreDriver driver,
             BackendConnections connections,
             ExchangeMetrics metrics,
             HeaderDialect dialect,
-            CallLog log) {
+            CallLog log,
+            long maximumAnswerBytes) {
         this.driver = driver;
         this.connections = connections;
         this.metrics = metrics;
         this.dialect = dialect;
         this.log = log;
+        this.maximumAnswerBytes = maximumAnswerBytes;
     }
 
     /** Returns the header fields of callers and backend servers. */
@@ -63,6 +69,11 @@
         return log;
     }
 
+    /** Returns the maximum size of an answer's body. */
+    long maximumAnswerBytes() {
+        return maximumAnswerBytes;
+    }
+
     /** Returns the metrics of exchanges and attempts. */
     ExchangeMetrics metrics() {
         return metrics;
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/HttpSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/HttpSettings.java
@@ -6,7 +6,7 @@
  * The limits on HTTP messages and connections.
  *
  * @param maximumHeaderBytes the maximum size of a request's header and of its first line
- * @param maximumBodyBytes the maximum size of a request's body
+ * @param maximumBodyBytes the maximum size of the body of a request or an answer
  * @param maximumReplayableBodyBytes the maximum size of a request's body that is kept in memory so that it can be sent
  *     again
  * @param readTimeout the maximum pause of a caller within a request
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -160,7 +160,12 @@
                 loopResources);
         MetricRegistry metrics = new MetricRegistry();
         exchanges = new ExchangeRegistry(
-                driver, connections, new ExchangeMetrics(metrics), environment.headerDialect(), environment.log());
+                driver,
+                connections,
+                new ExchangeMetrics(metrics),
+                environment.headerDialect(),
+                environment.log(),
+                settings.http().maximumBodyBytes());
         healthChecks = new ServerChecks(
                 driver, connections, environment.headerDialect(), SettingsTranslation.probeTimeout(settings));
         callerListener = new CallerListener(
