Read fractions in the retry budget of a fleet

Change: slack and window-seconds may be fractions. GatewaySettingsReaderTest.readsFractionsInRetryBudgetOfFleet did not compile against whole numbers, and such a file was refused before.

--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetSettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetSettingsReader.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.chivecourse.configuration.document.DocumentException;
 import org.chivecourse.configuration.document.MappingReader;
 import org.chivecourse.configuration.rule.Address;
@@ -19,6 +18,12 @@
     /** The maximum of the retry budget's slack, in retries. */
     private static final int MAXIMUM_SLACK_RETRIES = 1_000_000;
 
+    /** The maximum of the retry budget's window, in seconds. */
+    private static final int MAXIMUM_WINDOW_SECONDS = 3_600_000;
+
+    /** The number of nanoseconds in a second. */
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+
     /** The interval between two probes of a backend server if the settings do not state one, in milliseconds. */
     private static final long DEFAULT_PROBE_INTERVAL_MILLISECONDS = 100;
 
@@ -81,12 +86,13 @@
         RetryLimits defaults = RetryLimits.DEFAULT;
         RetryLimits limits = new RetryLimits(
                 reader.number("share", 0, 1, defaults.share()),
-                (int) reader.integer("slack", 0, MAXIMUM_SLACK_RETRIES, defaults.slack()),
-                TimeUnit.SECONDS.toNanos(reader.integer(
-                        "window-seconds",
-                        1,
-                        MAXIMUM_TIME_MILLISECONDS,
-                        TimeUnit.NANOSECONDS.toSeconds(defaults.windowNanoseconds()))));
+                reader.number("slack", 0, MAXIMUM_SLACK_RETRIES, defaults.slack()),
+                (long) (NANOSECONDS_PER_SECOND
+                        * reader.number(
+                                "window-seconds",
+                                1,
+                                MAXIMUM_WINDOW_SECONDS,
+                                defaults.windowNanoseconds() / NANOSECONDS_PER_SECOND)));
         reader.rejectUnknownKeys();
         return limits;
     }
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.regex.Pattern;
 import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.coordination.host.FleetSettings.RetryLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -38,6 +39,19 @@
         assertThat(GatewaySettingsReader.read("short", shortened), equalTo(GatewaySettingsReader.read(EXAMPLE)));
     }
 
+    /** The platform states bounds as whole numbers or fractions. */
+    @Test
+    void readsFractionsInRetryBudgetOfFleet() throws Exception {
+        String settings = "name: entry-1\ndata-centre: si-a\ncallers: {address: \"127.0.0.1:8080\"}\n"
+                + "operators: {address: \"127.0.0.1:8081\"}\npeers: {address: \"127.0.0.1:8082\"}\n"
+                + "drain: {linger-milliseconds: 2500, deadline-milliseconds: 5500}\n"
+                + "fleet: {publisher: \"127.0.0.1:7000\", seeds: [],"
+                + " repeats: {share: 0.2, slack: 21.649484536082475, window-seconds: 7.5}}\n";
+        assertThat(
+                GatewaySettingsReader.read("fleet", settings).fleet().retryBudget(),
+                equalTo(new RetryLimits(0.2, 21.649484536082475, 7_500_000_000L)));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
