Take a backend server for ended only after failed probes over 0.3 s

Found by reading: the silence of a server was counted from its first failed probe to now, so that one failed probe before a gateway was frozen, or before its probes stopped, made a crash of each request in flight there. Change: the time from the first to the last failed probe counts. Where connections time out instead of being refused, the end shows one probe later. FleetExchangeTest.singleFailedProbeIsNoCrash fails before; CrashingRequestTest passes as before.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -21,7 +21,10 @@
  */
 public final class CrashDetector {
 
-    /** The time for which a backend server has to stay unreachable to count as ended, in nanoseconds. */
+    /**
+     * The time over which a backend server has to be found unreachable again and again to count as ended, in
+     * nanoseconds.
+     */
     private static final long SILENCE_NANOSECONDS = 300_000_000L;
 
     /** The time after a broken connection within which a sign of life may have been sent before it, in nanoseconds. */
@@ -105,7 +108,7 @@
         }
         ServerCondition condition = candidate.server().condition();
         boolean silentSinceSent = condition.isSilent() && condition.silentSince() - candidate.attempt.sentAt() > 0;
-        if (silentSinceSent && now - condition.silentSince() >= SILENCE_NANOSECONDS) {
+        if (silentSinceSent && condition.silenceNanoseconds() >= SILENCE_NANOSECONDS) {
             return true;
         }
         return candidate.ended && (isGone(candidate.server()) || isSilentConfigured(candidate, now));
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerCondition.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerCondition.java
@@ -59,6 +59,9 @@
     /** The time at which it was first found unreachable after that sign. */
     private long silentSince;
 
+    /** The time at which it was last found unreachable. */
+    private long lastUnreachableAt;
+
     /** The time at which the unhealthy status expires. */
     private long unhealthyUntil;
 
@@ -147,6 +150,7 @@
             silent = true;
             silentSince = now;
         }
+        lastUnreachableAt = now;
         unreachable = true;
         unreachableUntil = now + STATUS_LIFETIME_NANOSECONDS;
     }
@@ -176,6 +180,16 @@
         return silent;
     }
 
+    /**
+     * Returns the time from the first to the last time at which it was found unreachable after the latest sign that its
+     * process runs.
+     *
+     * @return the time in nanoseconds, zero if it was found unreachable once or not at all
+     */
+    public long silenceNanoseconds() {
+        return silent ? lastUnreachableAt - silentSince : 0;
+    }
+
     /** Returns the time at which it was first found unreachable after the latest sign that its process runs. */
     public long silentSince() {
         return silentSince;
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -305,6 +305,21 @@
             network.core(host).poisonRequests().recordCrash(crash, network.now());
         }
 
+        /** A gateway that was frozen after a failed probe must not take the time that has passed for silence. */
+        @Test
+        void singleFailedProbeIsNoCrash() {
+            FleetNetwork network = startedFleet();
+            Arrival order = new Arrival(Method.POST, "/orders/1", 0, 0, true, "", -1, 77, "jobs.example");
+            network.handle("host-3", new Event.CallArrived(1, order));
+            network.handle("host-3", new Event.AttemptReady(1));
+            network.advance(20);
+            for (String server : List.of("i1", "i2")) {
+                network.handle("host-3", new Event.ProbeEnded(server, true, null, 0, ProbeFinding.UNREACHABLE));
+            }
+            network.advance(4000);
+            assertThat(network.core(3).poisonRequests().failedServerCount(77), equalTo(0));
+        }
+
         @Test
         void repeatsCrashWhoseFirstReportIsLost() {
             FleetNetwork network = startedFleet();
