--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/FleetSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/FleetSettings.java
@@ -38,7 +38,7 @@
      * @param slack the number of retries beyond that share within the window
      * @param windowNanoseconds the length of the sliding window, in nanoseconds
      */
-    public record RetryLimits(double share, double slack, long windowNanoseconds) {
+    public record RetryLimits(double share, int slack, long windowNanoseconds) {
 
         /**
          * The budget that applies unless another one is configured: a tenth of the requests of ten seconds, and 20
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/retry/FleetRetryBudget.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/retry/FleetRetryBudget.java
@@ -97,7 +97,7 @@
         for (int age = 0; age < WINDOW_PARTS; age++) {
             sum += arrivals[Math.floorMod(currentPart - age, arrivals.length)];
         }
-        double slack = limits.slack() / Math.max(MINIMUM_HOSTS, hostCount.getAsInt());
+        double slack = (double) limits.slack() / Math.max(MINIMUM_HOSTS, hostCount.getAsInt());
         return USED_SHARE * (limits.share() * sum + slack);
     }
 }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetSettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetSettingsReader.java
@@ -76,7 +76,8 @@
     }
 
     /**
-     * Reads the fleet's retry budget, which bounds the retries and hedges of all its gateways together.
+     * Reads the fleet's retry budget, which bounds the retries and hedges of all its gateways together. A fraction of a
+     * retry cannot be used.
      *
      * @param reader the reader of the mapping {@code repeats}
      * @return the retry budget
@@ -86,7 +87,7 @@
         RetryLimits defaults = RetryLimits.DEFAULT;
         RetryLimits limits = new RetryLimits(
                 reader.number("share", 0, 1, defaults.share()),
-                reader.number("slack", 0, MAXIMUM_SLACK_RETRIES, defaults.slack()),
+                (int) reader.number("slack", 0, MAXIMUM_SLACK_RETRIES, defaults.slack()),
                 (long) (NANOSECONDS_PER_SECOND
                         * reader.number(
                                 "window-seconds",
