--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -26,9 +26,6 @@
     /** The time for which a request is blocked. */
     public static final long BLOCK_NANOSECONDS = 600_000_000_000L;
 
-    /** The time after the last coincidence for which a request remains suspected. */
-    private static final long SUSPICION_NANOSECONDS = 600_000_000_000L;
-
     /** The maximum number of requests that are remembered. Bounds the memory used. */
     private static final int MAXIMUM_REQUESTS = 10_000;
 
@@ -47,14 +44,14 @@
     /** The time until which a request may be refused, in nanoseconds. */
     private long refusalsPossibleUntil = Long.MIN_VALUE / 2;
 
-    /** The number of crashes returned for other hosts so far, from which the next selection continues. */
-    private int nextCrash;
+    /** Selects the crashes to send to other hosts. */
+    private final RotatingSelection sharedCrashes = new RotatingSelection();
 
-    /** The number of answers returned for other hosts so far, from which the next selection continues. */
-    private int nextAnswer;
+    /** Selects the answers to send to other hosts. */
+    private final RotatingSelection sharedAnswers = new RotatingSelection();
 
-    /** The number of blocks returned for other hosts so far, from which the next selection continues. */
-    private int nextBlock;
+    /** Selects the blocks to send to other hosts. */
+    private final RotatingSelection sharedBlocks = new RotatingSelection();
 
     /**
      * Records that a backend server broke the connection of a request before its answer, and may have ended. {@link
@@ -95,7 +92,7 @@
         }
         int countedBefore = countedServers(crash.fingerprint(), suspicion);
         suspicion.lastChangedAt = crash.endedAt();
-        suspicion.crashes.put(crash.server(), new KnownCrash(crash, now));
+        suspicion.crashes.put(crash.server(), new Suspicion.KnownCrash(crash, now));
         serverEnds.record(crash);
         if (suspicion.crashes.size() >= SERVERS_TO_BLOCK - 1) {
             refusalsPossibleUntil = Math.max(refusalsPossibleUntil, crash.endedAt() + BLOCK_NANOSECONDS);
@@ -164,10 +161,7 @@
     /** Returns whether a request is suspected but not blocked. */
     public boolean suspected(long fingerprint, long now) {
         Suspicion suspicion = suspicions.get(fingerprint);
-        return suspicion != null
-                && suspicion.blockedUntil == 0
-                && suspicion.coincidences() > 0
-                && now - suspicion.lastChangedAt < SUSPICION_NANOSECONDS;
+        return suspicion != null && suspicion.current(now);
     }
 
     /** Returns the number of different backend servers that ended, or may have ended, while the request was running. */
@@ -229,8 +223,7 @@
     public Map<Long, Long> blocksToShare(int maximum, long now) {
         List<Map.Entry<Long, Long>> all = List.copyOf(blockedRequests(now).entrySet());
         Map<Long, Long> selected = new LinkedHashMap<>();
-        select(all, nextBlock, maximum).forEach(entry -> selected.put(entry.getKey(), entry.getValue()));
-        nextBlock += selected.size();
+        sharedBlocks.select(all, maximum).forEach(entry -> selected.put(entry.getKey(), entry.getValue()));
         return selected;
     }
 
@@ -242,17 +235,15 @@
         List<Crash> all = new ArrayList<>();
         for (Suspicion suspicion : suspicions.values()) {
             boolean repeated = suspicion.crashes.size() >= SERVERS_TO_RETAIN;
-            for (KnownCrash known : suspicion.crashes.values()) {
+            for (Suspicion.KnownCrash known : suspicion.crashes.values()) {
                 boolean fresh = now - known.learntAt() < REPETITION_NANOSECONDS;
-                boolean expired = now - known.crash().endedAt() >= SUSPICION_NANOSECONDS;
+                boolean expired = now - known.crash().endedAt() >= Suspicion.LIFETIME_NANOSECONDS;
                 if (!suspicion.blocked(now) && !expired && (repeated || fresh)) {
                     all.add(known.crash());
                 }
             }
         }
-        List<Crash> selected = select(all, nextCrash, maximum);
-        nextCrash += selected.size();
-        return selected;
+        return sharedCrashes.select(all, maximum);
     }
 
     /** Returns new answers to suspected requests for other hosts. Consecutive calls return all. */
@@ -263,18 +254,7 @@
                 all.add(new AnsweredRequest(fingerprint, suspicion.answeredAt));
             }
         });
-        List<AnsweredRequest> selected = select(all, nextAnswer, maximum);
-        nextAnswer += selected.size();
-        return selected;
-    }
-
-    /** Returns up to a maximum of elements, starting at an index that may exceed the size. */
-    private static <T> List<T> select(List<T> all, int first, int maximum) {
-        List<T> selected = new ArrayList<>();
-        for (int count = 0; count < Math.min(maximum, all.size()); count++) {
-            selected.add(all.get(Math.floorMod(first + count, all.size())));
-        }
-        return selected;
+        return sharedAnswers.select(all, maximum);
     }
 
     /** Returns the record of a request, a new one if there is none. */
@@ -309,65 +289,4 @@
                 .getKey();
         suspicions.remove(removed);
     }
-
-    /**
-     * A crash with the time at which this host learnt of it.
-     *
-     * @param crash the crash
-     * @param learntAt the time in nanoseconds
-     */
-    private record KnownCrash(Crash crash, long learntAt) {}
-
-    /** The record of a request that was running when backend servers ended. */
-    private static final class Suspicion {
-
-        /** The crashes by process of the backend server. */
-        private final Map<String, KnownCrash> crashes = new LinkedHashMap<>();
-
-        /** The times of broken connections by process of the backend server, which may have ended. */
-        private final Map<String, Long> unconfirmed = new LinkedHashMap<>();
-
-        /** Whether an answer cleared earlier crashes. */
-        private boolean answered;
-
-        /** The time of the latest such answer, in nanoseconds. */
-        private long answeredAt;
-
-        /** The time at which this host learnt of that answer, in nanoseconds. */
-        private long answerLearntAt;
-
-        /** The time of the last coincidence, answer or report that the request is blocked, in nanoseconds. */
-        private long lastChangedAt;
-
-        /** The time until which the request is blocked, in nanoseconds; zero unless it is blocked. */
-        private long blockedUntil;
-
-        /** Records an answer that cleared crashes. */
-        void recordAnswer(long at, long now) {
-            answered = true;
-            answeredAt = at;
-            answerLearntAt = now;
-            lastChangedAt = now;
-        }
-
-        /** Returns the number of backend servers that ended or may have ended. */
-        int coincidences() {
-            return crashes.size() + unconfirmed.size();
-        }
-
-        /** Returns whether nothing has to be remembered. */
-        boolean empty() {
-            return coincidences() == 0 && !answered && blockedUntil == 0;
-        }
-
-        /** Returns whether the request is blocked now. */
-        boolean blocked(long now) {
-            return blockedUntil != 0 && now - blockedUntil < 0;
-        }
-
-        /** Returns whether the suspicion or block has ended. */
-        boolean expired(long now) {
-            return blockedUntil != 0 ? !blocked(now) : now - lastChangedAt >= SUSPICION_NANOSECONDS;
-        }
-    }
 }
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashReportTest.java
@@ -0,0 +1,83 @@
+package org.chivecourse.coordination.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.util.List;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.host.HostCore;
+import org.chivecourse.coordination.measure.ProbeFinding;
+import org.chivecourse.state.fleet.Crash;
+import org.junit.jupiter.api.Test;
+
+/** Guards against crashes of backend servers that some gateways never learn of, and against false ones. */
+class CrashReportTest {
+
+    private static FleetNetwork startedFleet() {
+        return FleetExchangeTest.startedFleet();
+    }
+
+    private static void recordCrash(FleetNetwork network, int host, long fingerprint, String server) {
+        Crash crash = new Crash(fingerprint, server, network.now());
+        network.core(host).services().recordCrash(crash);
+        network.core(host).poisonRequests().recordCrash(crash, network.now());
+    }
+
+    /** A gateway that was frozen after a failed probe must not take the time that has passed for silence. */
+    @Test
+    void singleFailedProbeIsNoCrash() {
+        FleetNetwork network = startedFleet();
+        Arrival order = new Arrival(Method.POST, "/orders/1", 0, 0, true, "", -1, 77, "jobs.example");
+        network.handle("host-3", new Event.CallArrived(1, order));
+        network.handle("host-3", new Event.AttemptReady(1));
+        network.advance(20);
+        for (String server : List.of("i1", "i2")) {
+            network.handle("host-3", new Event.ProbeEnded(server, true, null, 0, ProbeFinding.UNREACHABLE));
+        }
+        network.advance(4000);
+        assertThat(network.core(3).poisonRequests().failedServerCount(77), equalTo(0));
+    }
+
+    @Test
+    void repeatsCrashWhoseFirstReportIsLost() {
+        FleetNetwork network = startedFleet();
+        network.setDigestLoss(1);
+        recordCrash(network, 2, 77, "i1");
+        network.advance(50);
+        network.setDigestLoss(0);
+        network.advance(1500);
+        for (HostCore core : network.cores()) {
+            assertThat(core.poisonRequests().failedServerCount(77), equalTo(1));
+        }
+    }
+
+    @Test
+    void forwardsCrashFromEveryGatewayOfLargeDataCentres() {
+        FleetNetwork network = new FleetNetwork(36);
+        network.advance(4000);
+        for (int host = 0; host < 36; host++) {
+            recordCrash(network, host, 100 + host, "i" + host);
+            network.advance(300);
+        }
+        network.advance(2500);
+        for (HostCore core : network.cores()) {
+            for (int host = 0; host < 36; host++) {
+                assertThat("crash at host-" + host, core.poisonRequests().failedServerCount(100 + host), equalTo(1));
+            }
+        }
+    }
+
+    @Test
+    void restartedGatewayLearnsEarlierCrashesOfRepeatedlySuspectedRequest() {
+        FleetNetwork network = startedFleet();
+        recordCrash(network, 2, 77, "i1");
+        recordCrash(network, 2, 77, "i2");
+        network.advance(20_000);
+        network.kill(7);
+        network.start(7);
+        network.advance(2000);
+        assertThat(network.core(7).poisonRequests().failedServerCount(77), equalTo(2));
+    }
+}
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -1,7 +1,6 @@
 package org.chivecourse.coordination.fleet;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -10,16 +9,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.chivecourse.configuration.model.Method;
 import org.chivecourse.coordination.decision.Decision;
-import org.chivecourse.coordination.decision.Reason;
-import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.measure.ProbeFinding;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.publication.PublishedItem;
-import org.chivecourse.state.server.LeavingCause;
 import org.chivecourse.state.server.LoadReport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -36,7 +31,7 @@
     /** The time after which a leaving backend server must receive no new request, as the platform requires. */
     private static final long DRAIN_LIMIT_MILLISECONDS = 2000;
 
-    private static FleetNetwork startedFleet() {
+    static FleetNetwork startedFleet() {
         FleetNetwork network = new FleetNetwork(HOSTS);
         network.publish(TextDecoder.server("i1", 0, "ready"));
         network.publish(TextDecoder.server("i2", 0, "ready"));
@@ -296,73 +291,6 @@
         }
     }
 
-    @Nested
-    class CrashReports {
-
-        private static void recordCrash(FleetNetwork network, int host, long fingerprint, String server) {
-            Crash crash = new Crash(fingerprint, server, network.now());
-            network.core(host).services().recordCrash(crash);
-            network.core(host).poisonRequests().recordCrash(crash, network.now());
-        }
-
-        /** A gateway that was frozen after a failed probe must not take the time that has passed for silence. */
-        @Test
-        void singleFailedProbeIsNoCrash() {
-            FleetNetwork network = startedFleet();
-            Arrival order = new Arrival(Method.POST, "/orders/1", 0, 0, true, "", -1, 77, "jobs.example");
-            network.handle("host-3", new Event.CallArrived(1, order));
-            network.handle("host-3", new Event.AttemptReady(1));
-            network.advance(20);
-            for (String server : List.of("i1", "i2")) {
-                network.handle("host-3", new Event.ProbeEnded(server, true, null, 0, ProbeFinding.UNREACHABLE));
-            }
-            network.advance(4000);
-            assertThat(network.core(3).poisonRequests().failedServerCount(77), equalTo(0));
-        }
-
-        @Test
-        void repeatsCrashWhoseFirstReportIsLost() {
-            FleetNetwork network = startedFleet();
-            network.setDigestLoss(1);
-            recordCrash(network, 2, 77, "i1");
-            network.advance(50);
-            network.setDigestLoss(0);
-            network.advance(1500);
-            for (HostCore core : network.cores()) {
-                assertThat(core.poisonRequests().failedServerCount(77), equalTo(1));
-            }
-        }
-
-        @Test
-        void forwardsCrashFromEveryGatewayOfLargeDataCentres() {
-            FleetNetwork network = new FleetNetwork(36);
-            network.advance(4000);
-            for (int host = 0; host < 36; host++) {
-                recordCrash(network, host, 100 + host, "i" + host);
-                network.advance(300);
-            }
-            network.advance(2500);
-            for (HostCore core : network.cores()) {
-                for (int host = 0; host < 36; host++) {
-                    assertThat(
-                            "crash at host-" + host, core.poisonRequests().failedServerCount(100 + host), equalTo(1));
-                }
-            }
-        }
-
-        @Test
-        void restartedGatewayLearnsEarlierCrashesOfRepeatedlySuspectedRequest() {
-            FleetNetwork network = startedFleet();
-            recordCrash(network, 2, 77, "i1");
-            recordCrash(network, 2, 77, "i2");
-            network.advance(20_000);
-            network.kill(7);
-            network.start(7);
-            network.advance(2000);
-            assertThat(network.core(7).poisonRequests().failedServerCount(77), equalTo(2));
-        }
-    }
-
     @Nested
     class PublisherOutages {
 
@@ -431,133 +359,4 @@
             }
         }
     }
-
-    @Nested
-    class RequestDispatch {
-
-        private static Arrival order() {
-            return new Arrival(Method.POST, "/orders/1", 0, 0, true, "", -1, 7, "jobs.example");
-        }
-
-        private static Arrival orderWithDeadline(long milliseconds) {
-            long nanoseconds = milliseconds * FleetNetwork.NANOSECONDS_PER_MILLISECOND;
-            return new Arrival(Method.POST, "/orders/1", nanoseconds, 0, true, "", -1, 7, "jobs.example");
-        }
-
-        private static <T extends Decision> List<T> ofType(List<Decision> decisions, Class<T> type) {
-            return decisions.stream().filter(type::isInstance).map(type::cast).toList();
-        }
-
-        private static void reportReady(FleetNetwork network, Decision.Send send) {
-            network.handle(FleetNetwork.name(3), new Event.AttemptReady(send.attempt()));
-        }
-
-        @Test
-        void withholdsRequestFromServerThatLeavesDuringConnect() {
-            FleetNetwork network = startedFleet();
-            Decision.Send send = ofType(
-                            network.handle("host-3", new Event.CallArrived(1, order())), Decision.Send.class)
-                    .get(0);
-            network.publish(TextDecoder.server(send.address(), 0, "leaving"));
-            network.advance(300);
-            List<Decision> decisions = network.handle("host-3", new Event.AttemptReady(send.attempt()));
-            assertThat(ofType(decisions, Decision.Proceed.class), empty());
-        }
-
-        @Test
-        void sendsRefusedRequestToAnotherServer() {
-            FleetNetwork network = startedFleet();
-            Decision.Send send = ofType(
-                            network.handle("host-3", new Event.CallArrived(1, order())), Decision.Send.class)
-                    .get(0);
-            reportReady(network, send);
-            List<Decision> decisions = network.handle(
-                    "host-3", new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(503, true, false, null)));
-            assertThat(ofType(decisions, Decision.Send.class), hasSize(1));
-        }
-
-        @Test
-        void doesNotRetryNonIdempotentRequestAfterBrokenConnection() {
-            FleetNetwork network = startedFleet();
-            Decision.Send send = ofType(
-                            network.handle("host-3", new Event.CallArrived(1, order())), Decision.Send.class)
-                    .get(0);
-            reportReady(network, send);
-            List<Decision> decisions = network.handle("host-3", new Event.AttemptBroken(send.attempt(), "reset"));
-            assertThat(ofType(decisions, Decision.Send.class), empty());
-            assertThat(
-                    ofType(decisions, Decision.Refuse.class).get(0).refusal().reason(),
-                    equalTo(Reason.CONNECTION_BROKEN));
-        }
-
-        @Test
-        void reportsTimeoutForUnansweredRequestAtDeadline() {
-            FleetNetwork network = startedFleet();
-            Decision.Send send = ofType(
-                            network.handle("host-3", new Event.CallArrived(1, order())), Decision.Send.class)
-                    .get(0);
-            reportReady(network, send);
-            network.clearDecisions();
-            network.advance(2100);
-            assertThat(
-                    ofType(network.decisions(3), Decision.Refuse.class)
-                            .get(0)
-                            .refusal()
-                            .reason()
-                            .status(),
-                    equalTo(504));
-        }
-
-        @Test
-        void cutsAnswerThatGoesOnLongAfterDeadline() {
-            FleetNetwork network = startedFleet();
-            Decision.Send send = ofType(
-                            network.handle("host-3", new Event.CallArrived(1, orderWithDeadline(2000))),
-                            Decision.Send.class)
-                    .get(0);
-            reportReady(network, send);
-            network.handle(
-                    "host-3", new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(200, false, false, null)));
-            network.advance(2500);
-            assertThat(ofType(network.decisions(3), Decision.Drop.class), empty());
-            network.advance(6000);
-            assertThat(ofType(network.decisions(3), Decision.Drop.class), hasSize(1));
-            assertThat(network.core(3).openCalls(), equalTo(0));
-        }
-
-        @Test
-        void marksServerReplacedWhenAnotherIdentityAnswers() {
-            FleetNetwork network = startedFleet();
-            Decision.Send send = ofType(
-                            network.handle("host-3", new Event.CallArrived(1, order())), Decision.Send.class)
-                    .get(0);
-            reportReady(network, send);
-            network.handle(
-                    "host-3",
-                    new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(421, true, false, null, true)));
-            assertThat(
-                    network.core(3).services().server(send.address()).leavingCause(), equalTo(LeavingCause.REPLACED));
-        }
-
-        @Test
-        void refusesRequestWithoutMatchingRoute() {
-            FleetNetwork network = startedFleet();
-            Arrival arrival = new Arrival(Method.GET, "/none/1", 0, 0, true, "", -1, 7, "jobs.example");
-            List<Decision> decisions = network.handle("host-3", new Event.CallArrived(1, arrival));
-            assertThat(ofType(decisions, Decision.Refuse.class).get(0).refusal().reason(), equalTo(Reason.NO_SERVICE));
-        }
-
-        @Test
-        void peersAvoidServerReportedUnreachable() {
-            FleetNetwork network = startedFleet();
-            network.handle("host-3", new Event.ProbeEnded("i1", true, null, 0, ProbeFinding.UNREACHABLE));
-            network.advance(150);
-            for (int call = 1; call <= 3; call++) {
-                Decision.Send send = ofType(
-                                network.handle("host-6", new Event.CallArrived(call, order())), Decision.Send.class)
-                        .get(0);
-                assertThat(send.address(), equalTo("i2"));
-            }
-        }
-    }
 }
