Forget a block once it has ended

Found while the change was read: after its ten minutes a block no longer held, but its record stayed and took every later crash for that of a blocked request, so that the request was never blocked again. Change: a record whose suspicion or block has ended is replaced by a new one. FailingServersTest .blocksRequestAgainThatGoesOnAfterItsBlockHasEnded fails before.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -257,12 +257,13 @@
         return sharedAnswers.select(all, maximum);
     }
 
-    /** Returns the record of a request, a new one if there is none. */
+    /** Returns the record of a request, a new one if there is none or its suspicion or block has ended. */
     private Suspicion suspicionOf(long fingerprint, long now) {
         Suspicion suspicion = suspicions.get(fingerprint);
-        if (suspicion != null) {
+        if (suspicion != null && !suspicion.expired(now)) {
             return suspicion;
         }
+        suspicions.remove(fingerprint);
         makeRoom(now);
         Suspicion created = new Suspicion();
         suspicions.put(fingerprint, created);
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
@@ -17,6 +17,7 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.health.HealthCheckResult;
 import org.chivecourse.coordination.poison.PoisonRequests;
+import org.chivecourse.state.fleet.Crash;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -89,6 +90,18 @@
             assertThat(harness.onlyDecision(Decision.Refuse.class).refusal().reason(), equalTo(Reason.CONVICTED));
         }
 
+        @Test
+        void blocksRequestAgainThatGoesOnAfterItsBlockHasEnded() {
+            PoisonRequests requests = new PoisonRequests();
+            long later = PoisonRequests.BLOCK_NANOSECONDS + 1;
+            requests.block(99, PoisonRequests.BLOCK_NANOSECONDS, 0);
+            for (int server = 1; server <= PoisonRequests.SERVERS_TO_BLOCK; server++) {
+                assertThat(requests.blocked(99, later), equalTo(false));
+                requests.recordCrash(new Crash(99, "i" + server, later), later);
+            }
+            assertThat(requests.blocked(99, later), equalTo(true));
+        }
+
         @Test
         void isolatesSuspectedRequest() {
             CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(3));
