--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -168,7 +168,10 @@
         return terms.route().isEmpty() ? LONG_ANSWER_OVERTIME_NANOSECONDS : ANSWER_OVERTIME_NANOSECONDS;
     }
 
-    /** Abandons waiting calls that are blocked or too late, and starts attempts and hedges wherever backend servers have room. */
+    /**
+     * Abandons waiting calls that are blocked or too late, and starts attempts and hedges wherever backend servers have
+     * room.
+     */
     public void useAvailableCapacity(long now, DecisionSink sink) {
         for (ServiceState service : services.all()) {
             continuation.abandonPoison(service, now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/ServerEnds.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/ServerEnds.java
@@ -15,7 +15,9 @@
     /** The time within which ends of backend servers count as one event. */
     private static final long EVENT_NANOSECONDS = 1_000_000_000L;
 
-    /** The number of other backend servers ending in one event from which an end may have another cause than a request. */
+    /**
+     * The number of other backend servers ending in one event from which an end may have another cause than a request.
+     */
     private static final int MASS_END_SERVERS = 2;
 
     /** The maximum number of ends that are remembered, the latest ones. Bounds the memory used. */
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestTest.java
@@ -26,7 +26,7 @@
 
     private static final long MILLISECONDS = 15_000;
 
-    /** The number of sends by undisturbed gateways that the platform allows after a crashing request is recognizable. */
+    /** The number of sends by undisturbed gateways that the platform allows once a crashing request is known. */
     private static final int ALLOWED_LATE_SENDS = 3;
 
     private static void assertRecognized(Consumer<Scene> scene) {
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -230,7 +230,7 @@
             }
         }
 
-        /** A server that never reports its load, since it is dead or answers nothing usable, costs a probe an interval. */
+        /** A dead server, or one that answers nothing usable, never reports its load. */
         @Test
         void probesServerWithoutReportOncePerInterval() {
             FleetNetwork network = fleetWithServersIn("dc-1");
