--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -253,6 +253,7 @@
         } else if (answer.report() != null) {
             services.recordLoadOfAnswer(server, answer.report(), now);
         }
+        services.recordLimit(server, answer.limit(), "answer with status " + answer.status(), now, sink);
         if (answer.leaving()) {
             LeavingCause cause = answer.refused() ? LeavingCause.REFUSAL : LeavingCause.HEADER;
             services.markLeaving(server.identity(), cause, revision, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -26,6 +26,7 @@
 import org.chivecourse.state.fleet.ObservationKind;
 import org.chivecourse.state.server.LeavingCause;
 import org.chivecourse.state.server.LoadReport;
+import org.chivecourse.state.server.RequestLimit;
 import org.chivecourse.state.server.ServerState;
 
 /** The services of the configuration in force, with what this host knows of their backend servers. */
@@ -163,6 +164,25 @@
         queueObservation(server, ObservationKind.LOAD, report.withoutAnsweredRequest(), now);
     }
 
+    /**
+     * Records the request limit that a backend server stated, and audits a change.
+     *
+     * @param limit the limit, {@code null} if the statement could not be read, which changes nothing
+     * @param source where this host learnt of it, for the audit record
+     */
+    public void recordLimit(ServerState server, RequestLimit limit, String source, long now, DecisionSink sink) {
+        RequestLimit previous = limit == null ? null : server.allowance().recordStatement(limit, now);
+        if (previous != null) {
+            sink.decide(new Decision.Audit(new Decision.Change(
+                    Decision.Subject.SERVER_LIMITED,
+                    server.identity(),
+                    previous.text(),
+                    limit.text(),
+                    source,
+                    configuration.revision())));
+        }
+    }
+
     /** Queues for other hosts that this host dispatched a request to a backend server. */
     public void recordDispatch(ServerState server, long now) {
         if (settings.fleet().enabled()) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -272,6 +272,9 @@
         /** Whether a backend server is ejected. */
         SERVER_EJECTED,
 
+        /** The request limit that a backend server states. */
+        SERVER_LIMITED,
+
         /** A backend server that announced itself, or whose announcement was removed. */
         SERVER_REGISTERED,
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
@@ -1,5 +1,6 @@
 package org.chivecourse.coordination.event;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonTypeName;
 import java.util.List;
 import org.chivecourse.configuration.format.LoadedConfiguration;
@@ -12,6 +13,7 @@
 import org.chivecourse.state.peer.PeerDigest;
 import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.LoadReport;
+import org.chivecourse.state.server.RequestLimit;
 
 /**
  * An input of the decision core. Traces contain events under the simple names of their records, or the names given by
@@ -121,9 +123,30 @@
      * @param report the load that the backend server reported, {@code null} if it reported none
      * @param nanoseconds the time since the probe was sent, in nanoseconds, zero if it failed
      * @param finding what the probe found about the backend server's health and identity
+     * @param limit the request limit that the backend server stated, {@code null} if it made no readable statement
      */
-    record ProbeEnded(String address, boolean sent, LoadReport report, long nanoseconds, ProbeFinding finding)
-            implements Event {}
+    record ProbeEnded(
+            String address,
+            boolean sent,
+            LoadReport report,
+            long nanoseconds,
+            ProbeFinding finding,
+            @JsonInclude(JsonInclude.Include.NON_NULL) RequestLimit limit)
+            implements Event {
+
+        /**
+         * Creates the end of a probe without a statement about a request limit.
+         *
+         * @param address the identity of the backend server
+         * @param sent whether the probe was sent
+         * @param report the load that the backend server reported, {@code null} if it reported none
+         * @param nanoseconds the time since the probe was sent, in nanoseconds, zero if it failed
+         * @param finding what the probe found about the backend server's health and identity
+         */
+        public ProbeEnded(String address, boolean sent, LoadReport report, long nanoseconds, ProbeFinding finding) {
+            this(address, sent, report, nanoseconds, finding, null);
+        }
+    }
 
     /**
      * The platform's host list was read.
@@ -257,8 +280,15 @@
      * @param report the load that the backend server reported, {@code null} if it reported none
      * @param otherServer whether the answer comes from another backend server than the one that the request was
      *     addressed to
+     * @param limit the request limit that the backend server stated, {@code null} if it made no readable statement
      */
-    record AnswerHead(int status, boolean refused, boolean leaving, LoadReport report, boolean otherServer) {
+    record AnswerHead(
+            int status,
+            boolean refused,
+            boolean leaving,
+            LoadReport report,
+            boolean otherServer,
+            @JsonInclude(JsonInclude.Include.NON_NULL) RequestLimit limit) {
 
         /**
          * Creates the head of an answer by the backend server that the request was addressed to.
@@ -269,7 +299,7 @@
          * @param report the load that the backend server reported, {@code null} if it reported none
          */
         public AnswerHead(int status, boolean refused, boolean leaving, LoadReport report) {
-            this(status, refused, leaving, report, false);
+            this(status, refused, leaving, report, false, null);
         }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
@@ -5,6 +5,7 @@
 import org.chivecourse.configuration.model.RefusalSignal;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.state.server.LoadReport;
+import org.chivecourse.state.server.RequestLimit;
 
 /**
  * The header fields that callers, gateways and backend servers exchange with a request and its answer. Each environment
@@ -65,6 +66,15 @@
      */
     LoadReport loadReport(HttpHeaders headers);
 
+    /**
+     * Reads the request limit that an answer states.
+     *
+     * @param headers the header fields of the answer
+     * @return the limit, {@link RequestLimit#NONE} if the answer states that there is none, {@code null} if the dialect
+     *     has no such statement or it cannot be read
+     */
+    RequestLimit requestLimit(HttpHeaders headers);
+
     /**
      * Reads the identity of the backend server that sent an answer.
      *
@@ -159,6 +169,11 @@
             return LoadReportField.parse(headers.get(HeaderNames.LOAD_REPORT)).orElse(null);
         }
 
+        @Override
+        public RequestLimit requestLimit(HttpHeaders headers) {
+            return null;
+        }
+
         @Override
         public String serverIdentity(HttpHeaders headers) {
             return null;
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -54,6 +54,9 @@
     /** The requests of other hosts, from load reports and digests. */
     private final ReportedLoad reportedLoad = new ReportedLoad();
 
+    /** Its request limit. */
+    private final RequestAllowance allowance = new RequestAllowance();
+
     /** The number of failures since the last success. */
     private int consecutiveFailures;
 
@@ -291,6 +294,11 @@
         return condition;
     }
 
+    /** Returns its request limit. */
+    public RequestAllowance allowance() {
+        return allowance;
+    }
+
     /** Returns the name under which it announced itself, or its address if it comes from the configuration. */
     public String identity() {
         return server.identity();
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
@@ -196,7 +196,8 @@
             finding = ProbeFinding.OTHER_SERVER;
         }
         long elapsedNanoseconds = report == null ? 0 : System.nanoTime() - sentAtNanoseconds;
-        driver.handle(new Event.ProbeEnded(address, true, report, elapsedNanoseconds, finding));
+        driver.handle(new Event.ProbeEnded(
+                address, true, report, elapsedNanoseconds, finding, dialect.requestLimit(headers)));
     }
 
     /**
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetRequestDispatchTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetRequestDispatchTest.java
@@ -114,7 +114,8 @@
                 .get(0);
         reportReady(network, send);
         network.handle(
-                "host-3", new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(421, true, false, null, true)));
+                "host-3",
+                new Event.AnswerStarted(send.attempt(), new Event.AnswerHead(421, true, false, null, true, null)));
         assertThat(network.core(3).services().server(send.address()).leavingCause(), equalTo(LeavingCause.REPLACED));
     }
 
