--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LimitedServerSimulation.java
@@ -0,0 +1,316 @@
+package org.chivecourse.coordination.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.LongConsumer;
+import org.chivecourse.configuration.format.ConfigurationWriter;
+import org.chivecourse.configuration.model.CallerRoute;
+import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Discovery;
+import org.chivecourse.configuration.model.Idempotency;
+import org.chivecourse.configuration.model.Method;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Arrival;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.measure.ProbeFinding;
+import org.chivecourse.state.publication.PublishedItem;
+import org.chivecourse.state.server.LoadReport;
+import org.chivecourse.state.server.RequestLimit;
+
+/**
+ * Simulates backend servers that state request limits behind a fleet of gateways on virtual time, and counts the
+ * requests that each of them gets from gateways that know its limit.
+ */
+final class LimitedServerSimulation {
+
+    /** The length of the window in which requests are counted, as the platform states. */
+    private static final long WINDOW_MILLISECONDS = 4000;
+
+    /** The time after the first statement of a limit from which requests are counted, as the platform states. */
+    private static final long ADAPTATION_MILLISECONDS = 3000;
+
+    /** The time after which a gateway that forwarded a statement has to heed it, as the platform states. */
+    private static final long NOTICE_MILLISECONDS = 500;
+
+    /** The time for which a gateway must have been undisturbed for its requests to count, as the platform states. */
+    private static final long UNDISTURBED_MILLISECONDS = 3000;
+
+    /** The factor by which a backend server may get more than its limit, as the platform states. */
+    private static final double ALLOWED_FACTOR = 1.5;
+
+    /** The number of requests that a backend server may get beyond that, as the platform states. */
+    private static final int ALLOWED_EXTRA = 5;
+
+    private static final long TIMEOUT_MILLISECONDS = 1000;
+
+    private static final long STEP_MILLISECONDS = 10;
+
+    private final FleetNetwork network;
+
+    private final int gateways;
+
+    private final SplittableRandom random;
+
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+
+    private final Map<String, Decision.Send> sends = new HashMap<>();
+
+    private final Map<String, Long> arrivals = new HashMap<>();
+
+    private final Map<String, Long> disturbedUntil = new HashMap<>();
+
+    private final List<Due> due = new ArrayList<>();
+
+    private long nextCall = 1;
+
+    /** The number of requests that arrive per second at all gateways together. */
+    double requestsPerSecond = 95;
+
+    /** The share of requests that arrive at the first three gateways, one of each data centre, instead of at any. */
+    double skewedShare;
+
+    /** The share of requests that backend servers answer with status 500. */
+    double errorShare;
+
+    /** The number of requests that were delivered. */
+    int delivered;
+
+    /** The longest time after which a request was refused because it could not be sent, in milliseconds. */
+    long longestUnsentMilliseconds;
+
+    LimitedServerSimulation(int gateways, int serverCount, long seed) {
+        this.gateways = gateways;
+        random = new SplittableRandom(seed);
+        network = new FleetNetwork(gateways);
+        network.setListener(this::perform);
+        for (int number = 0; number < serverCount; number++) {
+            startServer("i" + number, "dc-" + number % 3);
+        }
+        network.publish(configuration());
+        advance(2000, false, elapsed -> {});
+    }
+
+    FleetNetwork network() {
+        return network;
+    }
+
+    private static PublishedItem configuration() {
+        Configuration configuration = Configuration.revision(2)
+                .service(Service.named("jobs").discovery(Discovery.DEFAULT))
+                .callerRoute(CallerRoute.of("lookups", "jobs.example", "/lookups/", "jobs")
+                        .idempotency(Idempotency.IDEMPOTENT)
+                        .attempts(2)
+                        .rank(2)
+                        .times(Duration.ofMillis(TIMEOUT_MILLISECONDS), Duration.ofMillis(300)))
+                .callerRoute(CallerRoute.of("orders", "jobs.example", "/orders/", "jobs")
+                        .idempotency(Idempotency.NOT_IDEMPOTENT)
+                        .attempts(2)
+                        .rank(1)
+                        .times(Duration.ofMillis(TIMEOUT_MILLISECONDS), Duration.ofMillis(400)));
+        String text = new ConfigurationWriter().printUnchecked(configuration);
+        return new PublishedItem(TextDecoder.CONFIGURATION, 0, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Starts a backend server. */
+    void startServer(String identity, String dataCentre) {
+        servers.put(identity, new Server());
+        network.publish(TextDecoder.server(identity, 0, "ready", dataCentre));
+    }
+
+    /** Lets a backend server state a limit from now on, or that it has none. */
+    void limit(String identity, RequestLimit limit) {
+        servers.get(identity).limit = limit;
+        servers.get(identity).limitedSince = milliseconds();
+    }
+
+    /** Lets all backend servers state a limit from now on. */
+    void limitAll(double requestsPerSecondOfEach) {
+        servers.keySet().forEach(identity -> limit(identity, new RequestLimit(requestsPerSecondOfEach)));
+    }
+
+    /** Runs traffic for a time. */
+    void run(long milliseconds, LongConsumer disruption) {
+        advance(milliseconds, true, disruption);
+    }
+
+    private void advance(long milliseconds, boolean traffic, LongConsumer disruption) {
+        for (long elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
+            runDue();
+            disruption.accept(elapsed);
+            double expected = traffic ? requestsPerSecond * STEP_MILLISECONDS / 1000 : 0;
+            while (random.nextDouble() < expected) {
+                expected--;
+                arrive();
+            }
+            network.advance(STEP_MILLISECONDS);
+        }
+    }
+
+    private void arrive() {
+        boolean skewed = random.nextDouble() < skewedShare;
+        String host = FleetNetwork.name(random.nextInt(skewed ? Math.min(3, gateways) : gateways));
+        if (network.core(numberOf(host)) == null) {
+            return;
+        }
+        boolean lookup = random.nextDouble() < 0.7;
+        long call = nextCall++;
+        arrivals.put(host + call, milliseconds());
+        Arrival arrival = new Arrival(
+                lookup ? Method.GET : Method.POST,
+                lookup ? "/lookups/1" : "/orders/1",
+                TIMEOUT_MILLISECONDS * FleetNetwork.NANOSECONDS_PER_MILLISECOND,
+                0,
+                true,
+                "",
+                -1,
+                call,
+                "jobs.example");
+        network.handle(host, new Event.CallArrived(call, arrival));
+    }
+
+    private static int numberOf(String host) {
+        return Integer.parseInt(host.substring(host.indexOf('-') + 1));
+    }
+
+    /** Restarts a gateway. */
+    void restart(int number) {
+        network.kill(number);
+        network.start(number);
+        String host = FleetNetwork.name(number);
+        servers.values().forEach(server -> server.toldAt.remove(host));
+        disturbedUntil.put(host, milliseconds() + UNDISTURBED_MILLISECONDS);
+    }
+
+    /** Stops a gateway for good. */
+    void kill(int number) {
+        network.kill(number);
+    }
+
+    /** Cuts a gateway off from all others, or reconnects it. */
+    void setCutOff(int number, boolean cutOff) {
+        network.setDisconnectedFromPeers(number, cutOff);
+        disturbedUntil.put(
+                FleetNetwork.name(number), cutOff ? Long.MAX_VALUE : milliseconds() + UNDISTURBED_MILLISECONDS);
+    }
+
+    /** Returns the backend servers that got more than the platform allows in some window, with what they got. */
+    List<String> exceeded() {
+        List<String> found = new ArrayList<>();
+        servers.forEach((identity, server) -> {
+            if (server.largestExcess > 0) {
+                found.add(identity + " got " + server.largestExcess + " more than allowed at a limit of "
+                        + server.limit.text());
+            }
+        });
+        return found;
+    }
+
+    /** Returns the number of requests that a backend server got in the last milliseconds, from any gateway. */
+    long countReceived(String identity, long lastMilliseconds) {
+        return servers.get(identity).received.stream()
+                .filter(request -> request.at > milliseconds() - lastMilliseconds)
+                .count();
+    }
+
+    private long milliseconds() {
+        return network.now() / FleetNetwork.NANOSECONDS_PER_MILLISECOND;
+    }
+
+    private void perform(String host, Decision decision) {
+        if (decision instanceof Decision.Send send) {
+            sends.put(host + send.attempt(), send);
+            network.scheduleEvent(host, new Event.AttemptReady(send.attempt()), 1);
+        } else if (decision instanceof Decision.Proceed proceed) {
+            receive(host, sends.get(host + proceed.attempt()));
+        } else if (decision instanceof Decision.Deliver deliver) {
+            delivered++;
+            Server server = servers.get(sends.get(host + deliver.attempt()).address());
+            if (!server.limit.unlimited()) {
+                server.toldAt.putIfAbsent(host, milliseconds());
+            }
+            network.scheduleEvent(host, new Event.AnswerCompleted(deliver.attempt()), 1);
+        } else if (decision instanceof Decision.Probe probe) {
+            Server server = servers.get(probe.address());
+            network.scheduleEvent(
+                    host,
+                    new Event.ProbeEnded(probe.address(), true, server.report(), 0, ProbeFinding.SERVING, server.limit),
+                    2);
+        } else if (decision instanceof Decision.Refuse refuse
+                && refuse.refusal().explanation().indexOf("MAY_HAVE_RUN") < 0) {
+            long waited = milliseconds() - arrivals.get(host + refuse.call());
+            longestUnsentMilliseconds = Math.max(longestUnsentMilliseconds, waited);
+        }
+    }
+
+    private void receive(String host, Decision.Send send) {
+        Server server = servers.get(send.address());
+        boolean counted = milliseconds() - server.toldAt.getOrDefault(host, Long.MAX_VALUE / 2) >= NOTICE_MILLISECONDS
+                && disturbedUntil.getOrDefault(host, 0L) <= milliseconds()
+                && milliseconds() - server.limitedSince >= ADAPTATION_MILLISECONDS;
+        server.receive(new Request(milliseconds(), counted));
+        int status = random.nextDouble() < errorShare ? 500 : 200;
+        server.running++;
+        later(60 + random.nextInt(120), () -> {
+            server.running--;
+            Event.AnswerHead head = new Event.AnswerHead(status, false, false, server.report(), false, server.limit);
+            if (network.core(numberOf(host)) != null) {
+                network.scheduleEvent(host, new Event.AnswerStarted(send.attempt(), head), 1);
+            }
+        });
+    }
+
+    private void later(long delayMilliseconds, Runnable action) {
+        due.add(new Due(milliseconds() + delayMilliseconds, action));
+    }
+
+    private void runDue() {
+        List<Due> now =
+                due.stream().filter(action -> action.at <= milliseconds()).toList();
+        due.removeAll(now);
+        now.forEach(action -> action.action.run());
+    }
+
+    private record Due(long at, Runnable action) {}
+
+    private record Request(long at, boolean counted) {}
+
+    /** A backend server. */
+    private static final class Server {
+
+        private final List<Request> received = new ArrayList<>();
+
+        private final Map<String, Long> toldAt = new HashMap<>();
+
+        private RequestLimit limit = RequestLimit.NONE;
+
+        private long limitedSince;
+
+        private int running;
+
+        /** The largest number of requests beyond those allowed in a window, negative if it was never reached. */
+        private double largestExcess = Double.NEGATIVE_INFINITY;
+
+        LoadReport report() {
+            return new LoadReport(running, 4, 100);
+        }
+
+        void receive(Request request) {
+            received.add(request);
+            if (limit.unlimited() || !request.counted) {
+                return;
+            }
+            long count = received.stream()
+                    .filter(other -> other.counted && other.at > request.at - WINDOW_MILLISECONDS)
+                    .count();
+            double allowed = ALLOWED_FACTOR * limit.requestsPerSecond() * WINDOW_MILLISECONDS / 1000 + ALLOWED_EXTRA;
+            largestExcess = Math.max(largestExcess, count - allowed);
+        }
+    }
+}
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/RequestLimitTest.java
@@ -0,0 +1,156 @@
+package org.chivecourse.coordination.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.chivecourse.state.server.RequestLimit;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Guards against backend servers that get more requests, over all gateways together, than the limit they state. */
+@Tag("known-red")
+class RequestLimitTest {
+
+    private static final int HOSTS = 13;
+
+    private static final int SERVERS = 14;
+
+    private static final int SEEDS = 5;
+
+    private static final long MILLISECONDS = 20_000;
+
+    private static void assertKept(Consumer<Scene> scene) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            assertKept(new Scene(HOSTS, seed), scene);
+        }
+    }
+
+    private static void assertKept(Scene prepared, Consumer<Scene> scene) {
+        scene.accept(prepared);
+        prepared.simulation.run(MILLISECONDS, prepared.disruption);
+        assertThat("seed " + prepared.seed, prepared.simulation.exceeded(), empty());
+    }
+
+    @Test
+    void keepsLimitsOfTwoServersBesideUnlimitedOnes() {
+        assertKept(scene -> {
+            scene.simulation.limit("i1", new RequestLimit(1));
+            scene.simulation.limit("i2", new RequestLimit(2.3));
+        });
+    }
+
+    @Test
+    void keepsLimitsOfAllServers() {
+        assertKept(scene -> scene.simulation.limitAll(2));
+    }
+
+    @Test
+    void keepsLargeLimitsOfAllServers() {
+        assertKept(scene -> {
+            scene.simulation.limitAll(6);
+            scene.simulation.requestsPerSecond = 250;
+        });
+    }
+
+    @Test
+    void keepsLimitsWhileFewGatewaysGetMostRequests() {
+        assertKept(scene -> {
+            scene.simulation.limitAll(1.5);
+            scene.simulation.skewedShare = 0.8;
+        });
+    }
+
+    @Test
+    void keepsLimitsWhileServersAnswerWithErrors() {
+        assertKept(scene -> {
+            scene.simulation.limitAll(2);
+            scene.simulation.errorShare = 0.3;
+        });
+    }
+
+    @Test
+    void keepsLimitsWhileGatewaysRestart() {
+        assertKept(scene -> {
+            scene.simulation.limitAll(2);
+            scene.disruption = elapsed -> {
+                if (elapsed % 1500 == 300) {
+                    scene.simulation.restart((int) (elapsed / 1500) % HOSTS);
+                }
+            };
+        });
+    }
+
+    @Test
+    void keepsLimitsWhileGatewaysAreCutOff() {
+        assertKept(scene -> {
+            scene.simulation.limitAll(2);
+            scene.disruption = elapsed -> {
+                if (elapsed == 5000 || elapsed == 12_000) {
+                    for (int number = 0; number < 4; number++) {
+                        scene.simulation.setCutOff(number, elapsed == 5000);
+                    }
+                }
+            };
+        });
+    }
+
+    @Test
+    void keepsLimitsWhileDigestsAreLost() {
+        assertKept(scene -> {
+            scene.simulation.limitAll(2);
+            scene.simulation.network().setDigestLoss(0.3);
+        });
+    }
+
+    @Test
+    void keepsLimitsInDataCentresWithMoreGatewaysThanBridges() {
+        assertKept(new Scene(36, 1), scene -> scene.simulation.limitAll(1));
+    }
+
+    @Test
+    void keepsLimitOfServerWhoseDataCentreHasNoGateway() {
+        assertKept(scene -> {
+            scene.simulation.startServer("lonely", "dc-without-gateways");
+            scene.simulation.limitAll(1);
+        });
+    }
+
+    @Test
+    void keepsLimitThatIsStatedLater() {
+        assertKept(scene -> scene.disruption = elapsed -> {
+            if (elapsed == 8000) {
+                scene.simulation.limit("i4", new RequestLimit(1.8));
+            }
+        });
+    }
+
+    @Test
+    void keepsLimitThatIsLowered() {
+        assertKept(scene -> {
+            scene.simulation.limitAll(8);
+            scene.simulation.requestsPerSecond = 150;
+            scene.disruption = elapsed -> {
+                if (elapsed == 8000) {
+                    scene.simulation.limitAll(1);
+                }
+            };
+        });
+    }
+
+    /** What happens beside the limits. */
+    private static final class Scene {
+
+        private final long seed;
+
+        private final LimitedServerSimulation simulation;
+
+        private LongConsumer disruption = elapsed -> {};
+
+        Scene(int hosts, long seed) {
+            this.seed = seed;
+            simulation = new LimitedServerSimulation(hosts, SERVERS, seed);
+        }
+    }
+}
