Refuse at once the calls that request limits leave no place for

Cause: the expected wait came from slots and work times alone. Now it comes from the permits of this gateway while all servers in service are limited, from the calls ahead and from the rate of more urgent ones; twice the expected wait has to fit on arrival, and a waiting call that loses its place is refused when that is known. The answer says limited, and Retry-After when a place is expected. Where some servers have no limit, a limited one counts with its limit.

Test: refusesAtOnceWhatLimitsLeaveNoPlaceFor.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
@@ -4,6 +4,7 @@
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.limit.ExpectedWait;
+import org.chivecourse.coordination.limit.LimitedCapacity;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.coordination.retry.RetryRule;
 import org.chivecourse.state.call.CallPhase;
@@ -18,6 +19,12 @@
      */
     private static final int MINIMUM_FAILED_SERVERS_TO_ISOLATE = 2;
 
+    /**
+     * The factor by which the wait for a backend server with a request limit may be longer than expected, since other
+     * hosts may take the next permits.
+     */
+    private static final int LIMITED_WAIT_MARGIN = 2;
+
     /** The services of the configuration in force. */
     private final ServiceRegistry services;
 
@@ -73,12 +80,9 @@
             finalAnswers.abandon(call, Reason.NO_SERVER, now, sink);
             return;
         }
-        int ahead = service.waitingCalls().countAhead(call);
-        long waitNanoseconds = call.terms().route().isEmpty()
-                ? ExpectedWait.nanoseconds(ahead, service.servers())
-                : ExpectedWait.nanosecondsInFleet(ahead, service.servers(), services.hostCount());
-        if (now + waitNanoseconds - call.terms().deadline() > 0) {
-            finalAnswers.abandon(call, Reason.DEADLINE_UNREACHABLE, now, sink);
+        Reason refusal = refusalReason(service, call, now);
+        if (refusal != null) {
+            finalAnswers.abandon(call, refusal, now, sink);
             return;
         }
         CallState displaced =
@@ -91,6 +95,20 @@
         }
     }
 
+    /** Returns why a call that has to wait is refused, or {@code null} if it can still be answered in time. */
+    private Reason refusalReason(ServiceState service, CallState call, long now) {
+        int ahead = service.waitingCalls().countAhead(call);
+        LimitedCapacity limited = LimitedCapacity.of(service.servers(), now);
+        if (limited.everyServerLimited()) {
+            long wait = LIMITED_WAIT_MARGIN * limitedWaitNanoseconds(service, call, ahead, limited, now);
+            return missesDeadline(service, call, now + wait) ? Reason.LIMITED : null;
+        }
+        long waitNanoseconds = call.terms().route().isEmpty()
+                ? ExpectedWait.nanoseconds(ahead, service.servers())
+                : ExpectedWait.nanosecondsInFleet(ahead, service.servers(), services.hostCount(), now);
+        return now + waitNanoseconds - call.terms().deadline() > 0 ? Reason.DEADLINE_UNREACHABLE : null;
+    }
+
     /**
      * Returns whether a call is suspected of crashing backend servers and must run without other requests of this host.
      */
@@ -158,6 +176,35 @@
         }
     }
 
+    /** Returns the expected time until a call is sent while each backend server has a request limit. */
+    private static long limitedWaitNanoseconds(
+            ServiceState service, CallState call, int ahead, LimitedCapacity limited, long now) {
+        return limited.waitNanoseconds(
+                ahead, service.arrivalRates().aheadOf(call.terms().rank(), now));
+    }
+
+    /**
+     * Abandons the waiting calls that the request limits of the backend servers leave no time for. Does nothing while a
+     * backend server has no limit.
+     */
+    void abandonBeyondLimits(ServiceState service, long now, DecisionSink sink) {
+        if (service.waitingCalls().size() == 0) {
+            return;
+        }
+        LimitedCapacity limited = LimitedCapacity.of(service.servers(), now);
+        if (!limited.everyServerLimited()) {
+            return;
+        }
+        int ahead = 0;
+        for (CallState call : service.waitingCalls().inOrder()) {
+            if (missesDeadline(service, call, now + limitedWaitNanoseconds(service, call, ahead, limited, now))) {
+                finalAnswers.abandon(call, Reason.LIMITED, now, sink);
+            } else {
+                ahead++;
+            }
+        }
+    }
+
     /**
      * Returns whether less time is left until a waiting call's target latency than its work typically takes. {@code
      * false} for calls without a host-name route.
@@ -174,14 +221,16 @@
     /**
      * Returns whether less time is left until a waiting call's deadline than half of what its work typically takes.
      * {@code false} for calls without a host-name route.
+     *
+     * @param at the time at which the call is sent
      */
-    private static boolean missesDeadline(ServiceState service, CallState call, long now) {
+    private static boolean missesDeadline(ServiceState service, CallState call, long at) {
         if (call.terms().route().isEmpty()) {
             return false;
         }
         double typicalNanoseconds = service.workTimes()
                 .nanoseconds(call.terms().route(), call.terms().targetLatencyNanoseconds());
-        return call.terms().deadline() - now < typicalNanoseconds / 2;
+        return call.terms().deadline() - at < typicalNanoseconds / 2;
     }
 
     /** Starts attempts of the calls that wait for the same service as the given call. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -105,6 +105,7 @@
         CallState call = new CallState(event.call(), terms);
         openCalls.add(call);
         service.retryBudget().recordArrival(now);
+        service.arrivalRates().recordArrival(terms.rank(), now);
         if (terms.key().isEmpty() || terms.idempotent()) {
             continuation.attemptOrQueue(service, call, now, sink);
             return;
@@ -179,6 +180,7 @@
         for (ServiceState service : services.all()) {
             continuation.abandonPoison(service, now, sink);
             continuation.abandonLate(service, now, sink);
+            continuation.abandonBeyondLimits(service, now, sink);
             launcher.launchWaiting(service, now, sink);
             launcher.launchHedges(service, now, sink);
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
@@ -49,8 +49,10 @@
         Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
         boolean callerMayRetry = call.terms().idempotent() || noAttemptRan && reason != Reason.ANSWERED_BEFORE;
         ServiceState service = services.service(call.terms().service());
-        long retryAfterMilliseconds = callerMayRetry ? retryAfterDelay.milliseconds(call.terms(), reason, service) : 0;
-        String explanation = explanation(call, service);
+        long retryAfterMilliseconds = callerMayRetry
+                ? retryAfterDelay.milliseconds(call.terms(), reason, service, services.hostCount(), now)
+                : 0;
+        String explanation = explanation(call, service, now);
         finish(call, now, sink);
         sink.decide(new Decision.Refuse(
                 call.identifier(),
@@ -62,7 +64,7 @@
      *
      * @param service the service, {@code null} if the configuration in force has none
      */
-    private static String explanation(CallState call, ServiceState service) {
+    private static String explanation(CallState call, ServiceState service, long now) {
         StringBuilder text = new StringBuilder();
         for (AttemptState attempt : call.attempts()) {
             text.append(attempt.server().identity())
@@ -73,6 +75,10 @@
         if (service != null) {
             text.append(service.waitingCalls().size()).append(" waiting, ");
             text.append(service.servers().size()).append(" backend servers");
+            long limited = service.servers().stream()
+                    .filter(server -> server.allowance().limited(now))
+                    .count();
+            text.append(limited == 0 ? "" : ", " + limited + " of them limit their requests");
         }
         return text.toString();
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/RetryAfterDelay.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/RetryAfterDelay.java
@@ -4,6 +4,7 @@
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.limit.ExpectedWait;
+import org.chivecourse.coordination.limit.LimitedCapacity;
 import org.chivecourse.state.call.CallTerms;
 
 /**
@@ -45,11 +46,15 @@
      * Returns the delay for the caller of an abandoned call, in milliseconds.
      *
      * @param service the service, {@code null} if the configuration in force has none
+     * @param hostCount the number of hosts
      */
-    long milliseconds(CallTerms terms, Reason reason, ServiceState service) {
+    long milliseconds(CallTerms terms, Reason reason, ServiceState service, int hostCount, long now) {
         if (terms.route().isEmpty()) {
             return expectedWaitMilliseconds(service);
         }
+        if (reason == Reason.LIMITED && service != null) {
+            return jitter(limitedNanoseconds(service, hostCount, now) / NANOSECONDS_PER_MILLISECOND);
+        }
         boolean transientFailure = reason == Reason.REFUSED || reason == Reason.NO_CONNECTION;
         return transientFailure
                 ? jitter(TRANSIENT_FAILURE_DELAY_MILLISECONDS)
@@ -65,6 +70,18 @@
         return arrival.host().isEmpty() ? expectedWaitMilliseconds(service) : jitter(STARTUP_DELAY_MILLISECONDS);
     }
 
+    /**
+     * Returns the time after which a service whose backend servers limit their requests can take another one, in
+     * nanoseconds: after the calls that wait on this host, or on average on any other.
+     */
+    private static double limitedNanoseconds(ServiceState service, int hostCount, long now) {
+        LimitedCapacity limited = LimitedCapacity.of(service.servers(), now);
+        long waitNanoseconds = limited.waitNanoseconds(service.waitingCalls().size(), 0);
+        return waitNanoseconds == LimitedCapacity.NEVER
+                ? hostCount / Math.max(Double.MIN_NORMAL, limited.requestsPerNanosecond())
+                : waitNanoseconds;
+    }
+
     /** Returns a random time between half and one and a half times the given one, in milliseconds, at least one. */
     private long jitter(double milliseconds) {
         return Math.max(1, Math.round(milliseconds * (0.5 + random.nextDouble())));
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -12,6 +12,7 @@
 import org.chivecourse.coordination.hedge.HedgeCandidates;
 import org.chivecourse.coordination.hedge.HedgeSchedule;
 import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.coordination.limit.ArrivalRates;
 import org.chivecourse.coordination.limit.WaitingCalls;
 import org.chivecourse.coordination.measure.ProbeBudget;
 import org.chivecourse.coordination.poison.Quarantine;
@@ -61,6 +62,9 @@
     /** The rate at which this host sends requests of the service. */
     private final SendRate sendRate = new SendRate();
 
+    /** The rates at which requests of the service arrive, by rank. */
+    private final ArrivalRates arrivalRates = new ArrivalRates();
+
     /** The number of hosts that may run gateways. */
     private final IntSupplier hostCount;
 
@@ -195,6 +199,11 @@
         return workTimes;
     }
 
+    /** Returns the rates at which requests of the service arrive, by rank. */
+    ArrivalRates arrivalRates() {
+        return arrivalRates;
+    }
+
     /** Returns the rate at which this host sends requests of the service. */
     SendRate sendRate() {
         return sendRate;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/ExpectedWait.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/ExpectedWait.java
@@ -48,11 +48,13 @@
      * @param ahead the number of calls that wait on this host ahead of the new one
      * @param hostCount the number of hosts
      */
-    public static long nanosecondsInFleet(int ahead, List<ServerState> servers, int hostCount) {
+    public static long nanosecondsInFleet(int ahead, List<ServerState> servers, int hostCount, long now) {
         double perNanosecond = 0;
         for (ServerState server : servers) {
             if (server.leavingCause() == LeavingCause.NONE && server.averageServiceNanoseconds() > 0) {
-                perNanosecond += server.server().slots() / server.averageServiceNanoseconds();
+                double ofServer = server.server().slots() / server.averageServiceNanoseconds();
+                double permitted = hostCount * server.allowance().ownRequestsPerNanosecond();
+                perNanosecond += server.allowance().limited(now) ? Math.min(ofServer, permitted) : ofServer;
             }
         }
         return perNanosecond == 0 ? 0 : (long) (ahead * hostCount / perNanosecond);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/WaitingCalls.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/WaitingCalls.java
@@ -108,6 +108,13 @@
         return null;
     }
 
+    /** Returns the calls in the order in which they go. */
+    public List<CallState> inOrder() {
+        List<CallState> calls = new ArrayList<>(timely);
+        calls.addAll(overdue);
+        return calls;
+    }
+
     /** Removes and returns the first call, or returns {@code null} if none waits. */
     public CallState poll() {
         CallState first = timely.pollFirst();
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/RequestAllowance.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/RequestAllowance.java
@@ -14,6 +14,9 @@
  */
 public final class RequestAllowance {
 
+    /** A time that does not pass within the life of any call, in nanoseconds. */
+    public static final long NEVER = Long.MAX_VALUE / 4;
+
     /** The number of nanoseconds in a second. */
     private static final double NANOSECONDS_PER_SECOND = 1_000_000_000.0;
 
@@ -130,6 +133,30 @@
         return senders > 0 && tokens >= 1 + reserve;
     }
 
+    /**
+     * Returns the time until this gateway may send a request if no other one does before.
+     *
+     * @param now the current time
+     * @return the time in nanoseconds, {@link #NEVER} if this gateway is not among those that may send
+     */
+    public long nanosecondsUntilPermit(long now) {
+        if (senders == 0) {
+            return NEVER;
+        }
+        fill(now);
+        return (long) Math.max(0, (1 + reserve - tokens) / requestsPerNanosecond());
+    }
+
+    /** Returns the rate at which all gateways together may send requests, per nanosecond. */
+    public double requestsPerNanosecond() {
+        return requestsPerSecond() / NANOSECONDS_PER_SECOND;
+    }
+
+    /** Returns the rate at which this gateway may send if all others that may send do so, per nanosecond. */
+    public double ownRequestsPerNanosecond() {
+        return senders == 0 ? 0 : requestsPerNanosecond() / senders;
+    }
+
     /**
      * Takes a token for a request of this gateway.
      *
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LimitedServerSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LimitedServerSimulation.java
@@ -48,6 +48,9 @@
     /** The number of requests that a backend server may get beyond that, as the platform states. */
     private static final int ALLOWED_EXTRA = 5;
 
+    /** The time within which a request that cannot be served is refused: an eighth of the lowest target latency. */
+    private static final long PROMPT_MILLISECONDS = 300 / 8;
+
     private static final long TIMEOUT_MILLISECONDS = 1000;
 
     private static final long STEP_MILLISECONDS = 10;
@@ -82,8 +85,11 @@
     /** The number of requests that were delivered. */
     int delivered;
 
-    /** The longest time after which a request was refused because it could not be sent, in milliseconds. */
-    long longestUnsentMilliseconds;
+    /** The number of requests that were refused without having been sent. */
+    int refusedUnsent;
+
+    /** The number of those that were refused later than allowed. */
+    int refusedLate;
 
     LimitedServerSimulation(int gateways, int serverCount, long seed) {
         this.gateways = gateways;
@@ -253,7 +259,8 @@
         } else if (decision instanceof Decision.Refuse refuse
                 && refuse.refusal().explanation().indexOf("MAY_HAVE_RUN") < 0) {
             long waited = milliseconds() - arrivals.get(host + refuse.call());
-            longestUnsentMilliseconds = Math.max(longestUnsentMilliseconds, waited);
+            refusedUnsent++;
+            refusedLate += waited > PROMPT_MILLISECONDS ? 1 : 0;
         }
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/RequestLimitTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/RequestLimitTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -26,6 +27,9 @@
     /** The share of the limits that is used if more requests arrive. */
     private static final double USED_SHARE = 0.8;
 
+    /** The share of refused requests that may wait first, since more urgent ones may take their place. */
+    private static final double LATE_REFUSAL_SHARE = 0.1;
+
     private static void assertKept(Consumer<Scene> scene) {
         for (long seed = 1; seed <= SEEDS; seed++) {
             assertKept(new Scene(HOSTS, seed), scene);
@@ -183,6 +187,17 @@
         assertUsed(new Scene(36, 1), scene -> scene.simulation.limitAll(2));
     }
 
+    @Test
+    void refusesAtOnceWhatLimitsLeaveNoPlaceFor() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            LimitedServerSimulation simulation = new LimitedServerSimulation(HOSTS, SERVERS, seed);
+            simulation.limitAll(2);
+            simulation.run(MILLISECONDS, elapsed -> {});
+            double lateShare = (double) simulation.refusedLate / simulation.refusedUnsent;
+            assertThat("seed " + seed, lateShare, lessThanOrEqualTo(LATE_REFUSAL_SHARE));
+        }
+    }
+
     /** What happens beside the limits. */
     private static final class Scene {
 
