Probe a backend server with a request limit once a second

A limited server got up to ten probes a second, many times what it says it takes (177 probes in 20 s at a limit of 0.5 a second in the test, 21 allowed there). A server that has stopped answering is still probed at the full rate, so that its end is found as soon as before. Test: probesLimitedServerOnceASecond, which failed.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
@@ -32,6 +32,11 @@
     /** The time after which a probe that has not ended no longer prevents another one. */
     private static final long PROBE_TIMEOUT_NANOSECONDS = 3_000_000_000L;
 
+    /**
+     * The time between two probes of a backend server with a request limit. Such probes may count against it.
+     */
+    private static final long LIMITED_INTERVAL_NANOSECONDS = 1_000_000_000L;
+
     /** The settings of this host. */
     private final HostSettings settings;
 
@@ -72,9 +77,9 @@
             assignedAt = now;
             assign(now);
         }
-        long interval = Math.max(settings.fleet().probeIntervalNanoseconds(), peers.localDigestIntervalNanoseconds());
         for (Assignment assignment : assignments) {
             ServerState server = assignment.server();
+            long interval = intervalNanoseconds(server, now);
             boolean fresh = server.hasReport() && now - server.reportedAt() < interval;
             if (!fresh && server.leavingCause() == LeavingCause.NONE && mayStart(server.identity(), interval, now)) {
                 startTimes.put(server.identity(), now);
@@ -84,6 +89,13 @@
         }
     }
 
+    /** Returns the time between two probes of a backend server. One that stopped answering is probed at full rate. */
+    private long intervalNanoseconds(ServerState server, long now) {
+        long interval = Math.max(settings.fleet().probeIntervalNanoseconds(), peers.localDigestIntervalNanoseconds());
+        boolean spared = server.allowance().limited(now) && !server.condition().isSilent();
+        return spared ? Math.max(interval, LIMITED_INTERVAL_NANOSECONDS) : interval;
+    }
+
     /**
      * Returns whether the interval since the start of the latest probe of a backend server has passed, and that probe
      * has ended or timed out.
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LimitedServerSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LimitedServerSimulation.java
@@ -233,6 +233,11 @@
                 .sum();
     }
 
+    /** Returns the number of probes that a backend server has got. */
+    int countProbes(String identity) {
+        return servers.get(identity).probes;
+    }
+
     private long milliseconds() {
         return network.now() / FleetNetwork.NANOSECONDS_PER_MILLISECOND;
     }
@@ -252,6 +257,7 @@
             network.scheduleEvent(host, new Event.AnswerCompleted(deliver.attempt()), 1);
         } else if (decision instanceof Decision.Probe probe) {
             Server server = servers.get(probe.address());
+            server.probes++;
             network.scheduleEvent(
                     host,
                     new Event.ProbeEnded(probe.address(), true, server.report(), 0, ProbeFinding.SERVING, server.limit),
@@ -309,6 +315,8 @@
 
         private int running;
 
+        private int probes;
+
         /** The largest number of requests beyond those allowed in a window, negative if it was never reached. */
         private double largestExcess = Double.NEGATIVE_INFINITY;
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/RequestLimitTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/RequestLimitTest.java
@@ -198,6 +198,16 @@
         }
     }
 
+    @Test
+    void probesLimitedServerOnceASecond() {
+        Scene scene = new Scene(HOSTS, 1);
+        scene.simulation.limit("i1", new RequestLimit(0.5));
+        scene.simulation.run(1000, scene.disruption);
+        int before = scene.simulation.countProbes("i1");
+        scene.simulation.run(MILLISECONDS, scene.disruption);
+        assertThat(scene.simulation.countProbes("i1") - before, lessThanOrEqualTo((int) MILLISECONDS / 1000 + 1));
+    }
+
     /** What happens beside the limits. */
     private static final class Scene {
 
