Find out whether a gateway's own links to backend servers are lost, and log it

Links count as lost when three backend servers have failed since any of them last answered this gateway, while other gateways go on getting answers; the line links says when. Nothing is decided by it yet.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -262,7 +262,7 @@
             services.markLeaving(server.identity(), LeavingCause.REPLACED, revision, sink);
             return;
         }
-        server.condition().recordAlive(now);
+        services.recordContact(server, now);
         if (answer.report() != null && answer.refused()) {
             services.recordLoad(server, answer.report(), now);
         } else if (answer.report() != null) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -18,6 +18,7 @@
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.fleet.ObservationOutbox;
+import org.chivecourse.coordination.health.LinkMonitor;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.registry.ServerRegistry;
@@ -65,6 +66,9 @@
     /** The backend servers that stated a request limit, including those whose limit has ended. */
     private final Set<ServerState> limitedServers = new LinkedHashSet<>();
 
+    /** Finds out whether this host's own links to backend servers are lost. */
+    private final LinkMonitor links = new LinkMonitor();
+
     /** The number of hosts that may run gateways. */
     private int hostCount;
 
@@ -134,6 +138,7 @@
         }
         switch (observation.kind()) {
             case LOAD -> {
+                server.contact().recordAnswerToOthers(observation.observedAt());
                 if (!server.hasReport() || observation.observedAt() - server.reportedAt() > 0) {
                     server.recordReport(observation.report(), observation.observedAt());
                     server.condition().recordAlive(observation.observedAt());
@@ -228,9 +233,29 @@
         queueObservation(server, ObservationKind.FAILURE, null, now);
     }
 
+    /** Records an answer of a backend server to this host, of any kind, which shows that its process runs. */
+    public void recordContact(ServerState server, long now) {
+        server.condition().recordAlive(now);
+        server.contact().recordAnswer(now);
+    }
+
+    /** Determines again whether this host's links to backend servers are lost, and audits a change. */
+    public void updateLinks(long now, DecisionSink sink) {
+        if (settings.fleet().enabled() && links.update(servers.values(), now)) {
+            sink.decide(new Decision.Audit(new Decision.Change(
+                    Decision.Subject.LINKS,
+                    settings.name(),
+                    links.lost() ? "reached" : "lost",
+                    links.lost() ? "lost" : "reached",
+                    links.lost() ? "backend servers answer other hosts only" : "a backend server answered",
+                    configuration.revision())));
+        }
+    }
+
     /** Records that this host could not reach a backend server. */
     public void recordUnreachable(ServerState server, long now) {
         server.condition().markUnreachable(now);
+        server.contact().recordFailure(now);
         queueObservation(server, ObservationKind.UNREACHABLE, null, now);
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -281,6 +281,9 @@
         /** Whether the platform's publisher is reachable. */
         PUBLISHER,
 
+        /** Whether the gateway's own links to backend servers are lost. */
+        LINKS,
+
         /** Another gateway. */
         GATEWAY,
 
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/health/LinkMonitor.java
@@ -0,0 +1,64 @@
+package org.chivecourse.coordination.health;
+
+import java.util.Collection;
+import org.chivecourse.state.server.LeavingCause;
+import org.chivecourse.state.server.ServerState;
+
+/**
+ * Finds out whether this host's own links to backend servers are lost, as opposed to backend servers that are down.
+ *
+ * <p>They are lost if several backend servers have failed since any of them last answered this host, while other hosts
+ * go on getting answers.
+ */
+public final class LinkMonitor {
+
+    /** The number of backend servers that must have failed, or all if there are fewer. */
+    private static final int MINIMUM_FAILED_SERVERS = 3;
+
+    /** The age from which a request without an answer counts as a failure, if nothing else is answered either. */
+    private static final long SILENT_REQUEST_NANOSECONDS = 500_000_000L;
+
+    /** Whether the links are lost. */
+    private boolean lost;
+
+    /**
+     * Determines again whether the links are lost.
+     *
+     * @param servers all backend servers
+     * @return {@code true} if that has changed
+     */
+    public boolean update(Collection<ServerState> servers, long now) {
+        long lastAnswerAt = Long.MIN_VALUE / 2;
+        for (ServerState server : servers) {
+            lastAnswerAt = Math.max(lastAnswerAt, server.contact().answeredAt());
+        }
+        int failed = 0;
+        int inService = 0;
+        boolean othersAnswered = false;
+        for (ServerState server : servers) {
+            if (server.leavingCause() != LeavingCause.NONE) {
+                continue;
+            }
+            inService++;
+            if (hasFailedSince(server, lastAnswerAt, now)) {
+                failed++;
+            }
+            othersAnswered |= server.contact().answeredOthersAt() - lastAnswerAt > 0;
+        }
+        boolean before = lost;
+        lost = failed > 0 && failed >= Math.min(MINIMUM_FAILED_SERVERS, inService) && othersAnswered;
+        return lost != before;
+    }
+
+    /** Returns whether this host has failed to reach a backend server since any of them last answered. */
+    private static boolean hasFailedSince(ServerState server, long lastAnswerAt, long now) {
+        boolean silent = now - lastAnswerAt >= SILENT_REQUEST_NANOSECONDS
+                && server.oldestRequestAge(now) >= SILENT_REQUEST_NANOSECONDS;
+        return silent || server.contact().failedAt() - lastAnswerAt > 0;
+    }
+
+    /** Returns whether the links are lost. */
+    public boolean lost() {
+        return lost;
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -136,6 +136,7 @@
     /** Performs the periodic work: timeouts and hedges of calls, health checks, probes and digests. */
     private void handleTimePassed(long now, DecisionSink sink) {
         calls.advanceTime(now, sink);
+        services.updateLinks(now, sink);
         serverMonitor.handleTimePassed(now, sink);
         if (settings.fleet().enabled()) {
             fleetExchange.runDueTasks(now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
@@ -155,7 +155,7 @@
 
     /** Records the health that a backend server reported in the answer to a probe. */
     private void recordAnsweredProbe(ServerState server, boolean healthy, long now) {
-        server.condition().recordAlive(now);
+        services.recordContact(server, now);
         services.recordHealth(server, healthy, now);
     }
 
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerContact.java
@@ -0,0 +1,63 @@
+package org.chivecourse.state.server;
+
+/**
+ * When this host and others last were in contact with a backend server.
+ *
+ * <p>Times are in nanoseconds of the host's monotonic clock.
+ */
+public final class ServerContact {
+
+    /** A time before any other. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    /** The time of the last answer to this host. */
+    private long answeredAt = NEVER;
+
+    /** The time at which this host last failed to reach the backend server. */
+    private long failedAt = NEVER;
+
+    /** The time of the last load that the backend server reported to another host. */
+    private long answeredOthersAt = NEVER;
+
+    /**
+     * Records an answer to this host, of any kind.
+     *
+     * @param now the current time
+     */
+    public void recordAnswer(long now) {
+        answeredAt = now;
+    }
+
+    /**
+     * Records that this host could not connect to the backend server or got no answer to a probe.
+     *
+     * @param now the current time
+     */
+    public void recordFailure(long now) {
+        failedAt = now;
+    }
+
+    /**
+     * Records that the backend server answered another host.
+     *
+     * @param at the time of the answer
+     */
+    public void recordAnswerToOthers(long at) {
+        answeredOthersAt = Math.max(answeredOthersAt, at);
+    }
+
+    /** Returns the time of the last answer to this host, a time in the distant past if there was none. */
+    public long answeredAt() {
+        return answeredAt;
+    }
+
+    /** Returns the time at which this host last failed to reach it, a time in the distant past if it never did. */
+    public long failedAt() {
+        return failedAt;
+    }
+
+    /** Returns the time of the last answer to another host, a time in the distant past if there was none. */
+    public long answeredOthersAt() {
+        return answeredOthersAt;
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -54,6 +54,9 @@
     /** The requests of other hosts, from load reports and digests. */
     private final ReportedLoad reportedLoad = new ReportedLoad();
 
+    /** When this host and others were in contact with it. */
+    private final ServerContact contact = new ServerContact();
+
     /** Its request limit. */
     private final RequestAllowance allowance = new RequestAllowance();
 
@@ -294,6 +297,11 @@
         return condition;
     }
 
+    /** Returns when this host and others were in contact with it. */
+    public ServerContact contact() {
+        return contact;
+    }
+
     /** Returns its request limit. */
     public RequestAllowance allowance() {
         return allowance;
