--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LimitedServerSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -4,10 +4,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
 import java.util.function.LongConsumer;
 import org.chivecourse.configuration.format.ConfigurationWriter;
 import org.chivecourse.configuration.model.CallerRoute;
@@ -25,10 +28,10 @@
 import org.chivecourse.state.server.RequestLimit;
 
 /**
- * Simulates backend servers that state request limits behind a fleet of gateways on virtual time, and counts the
- * requests that each of them gets from gateways that know its limit.
+ * Simulates backend servers behind a fleet of gateways on virtual time, and callers that do not come back. Backend
+ * servers may state request limits, and gateways may lose their links to backend servers.
  */
-final class LimitedServerSimulation {
+final class BackendSimulation {
 
     /** The length of the window in which requests are counted, as the platform states. */
     private static final long WINDOW_MILLISECONDS = 4000;
@@ -55,6 +58,9 @@
 
     private static final long STEP_MILLISECONDS = 10;
 
+    /** The share of requests that get a connection which is already open. */
+    private static final double OPEN_CONNECTION_SHARE = 0.5;
+
     private final FleetNetwork network;
 
     private final int gateways;
@@ -71,6 +77,10 @@
 
     private final List<Due> due = new ArrayList<>();
 
+    private final Map<String, LinkLoss> lostLinks = new HashMap<>();
+
+    private final Map<String, CallerOutcomes> outcomes = new HashMap<>();
+
     private long nextCall = 1;
 
     /** The number of requests that arrive per second at all gateways together. */
@@ -91,7 +101,7 @@
     /** The number of those that were refused later than allowed. */
     int refusedLate;
 
-    LimitedServerSimulation(int gateways, int serverCount, long seed) {
+    BackendSimulation(int gateways, int serverCount, long seed) {
         this.gateways = gateways;
         random = new SplittableRandom(seed);
         network = new FleetNetwork(gateways);
@@ -168,6 +178,7 @@
         boolean lookup = random.nextDouble() < 0.7;
         long call = nextCall++;
         arrivals.put(host + call, milliseconds());
+        outcomes.computeIfAbsent(host, key -> new CallerOutcomes()).arrived++;
         Arrival arrival = new Arrival(
                 lookup ? Method.GET : Method.POST,
                 lookup ? "/lookups/1" : "/orders/1",
@@ -206,6 +217,40 @@
                 FleetNetwork.name(number), cutOff ? Long.MAX_VALUE : milliseconds() + UNDISTURBED_MILLISECONDS);
     }
 
+    /** Lets a gateway lose its links to all backend servers, or get them back if {@code null}. */
+    void setLinkLoss(int number, LinkLoss loss) {
+        String host = FleetNetwork.name(number);
+        if (loss == null) {
+            lostLinks.remove(host);
+            return;
+        }
+        lostLinks.put(host, loss);
+        if (loss == LinkLoss.RESET) {
+            servers.values()
+                    .forEach(server -> Set.copyOf(server.open).stream()
+                            .filter(attempt -> attempt.host().equals(host))
+                            .forEach(attempt -> reset(server, attempt)));
+        }
+    }
+
+    /** Forgets what has become of the requests so far. */
+    void clearOutcomes() {
+        outcomes.clear();
+    }
+
+    /** Returns what has become of the requests of some gateways that arrived since the last clearing. */
+    CallerOutcomes outcomes(IntPredicate chosen) {
+        CallerOutcomes sum = new CallerOutcomes();
+        for (int number = 0; number < gateways; number++) {
+            CallerOutcomes own = outcomes.get(FleetNetwork.name(number));
+            if (own != null && chosen.test(number)) {
+                sum.arrived += own.arrived;
+                sum.served += own.served;
+            }
+        }
+        return sum;
+    }
+
     /** Returns the backend servers that got more than the platform allows in some window, with what they got. */
     List<String> exceeded() {
         List<String> found = new ArrayList<>();
@@ -245,16 +290,24 @@
     private void perform(String host, Decision decision) {
         if (decision instanceof Decision.Send send) {
             sends.put(host + send.attempt(), send);
-            network.scheduleEvent(host, new Event.AttemptReady(send.attempt()), 1);
+            connect(host, send);
         } else if (decision instanceof Decision.Proceed proceed) {
             receive(host, sends.get(host + proceed.attempt()));
         } else if (decision instanceof Decision.Deliver deliver) {
-            delivered++;
+            recordDelivery(host, deliver.call());
             Server server = servers.get(sends.get(host + deliver.attempt()).address());
             if (!server.limit.unlimited()) {
                 server.toldAt.putIfAbsent(host, milliseconds());
             }
             network.scheduleEvent(host, new Event.AnswerCompleted(deliver.attempt()), 1);
+        } else if (decision instanceof Decision.Drop drop) {
+            Decision.Send send = sends.get(host + drop.attempt());
+            servers.get(send.address()).open.remove(new Attempt(host, drop.attempt()));
+        } else if (decision instanceof Decision.Probe probe && lostLinks.containsKey(host)) {
+            network.scheduleEvent(
+                    host,
+                    new Event.ProbeEnded(probe.address(), false, null, 0, ProbeFinding.UNREACHABLE),
+                    lostLinks.get(host).failureMilliseconds());
         } else if (decision instanceof Decision.Probe probe) {
             Server server = servers.get(probe.address());
             server.probes++;
@@ -270,7 +323,36 @@
         }
     }
 
+    private void recordDelivery(String host, long call) {
+        delivered++;
+        CallerOutcomes own = outcomes.get(host);
+        if (own != null && milliseconds() - arrivals.getOrDefault(host + call, 0L) <= TIMEOUT_MILLISECONDS) {
+            own.served++;
+        }
+    }
+
+    private void connect(String host, Decision.Send send) {
+        LinkLoss loss = lostLinks.get(host);
+        boolean open = random.nextDouble() < OPEN_CONNECTION_SHARE;
+        if (loss == null || open && loss.keepsOpenConnections()) {
+            network.scheduleEvent(host, new Event.AttemptReady(send.attempt()), 1);
+            return;
+        }
+        network.scheduleEvent(
+                host, new Event.AttemptUnsent(send.attempt(), "no connection"), loss.failureMilliseconds());
+    }
+
+    private void reset(Server server, Attempt attempt) {
+        if (server.open.remove(attempt) && network.core(numberOf(attempt.host())) != null) {
+            network.scheduleEvent(attempt.host(), new Event.AttemptBroken(attempt.number(), "reset"), 1);
+        }
+    }
+
     private void receive(String host, Decision.Send send) {
+        LinkLoss loss = lostLinks.get(host);
+        if (loss == LinkLoss.HANGING) {
+            return;
+        }
         Server server = servers.get(send.address());
         boolean counted = milliseconds() - server.toldAt.getOrDefault(host, Long.MAX_VALUE / 2) >= NOTICE_MILLISECONDS
                 && disturbedUntil.getOrDefault(host, 0L) <= milliseconds()
@@ -278,8 +360,13 @@
         server.receive(new Request(milliseconds(), counted));
         int status = random.nextDouble() < errorShare ? 500 : 200;
         server.running++;
+        Attempt attempt = new Attempt(host, send.attempt());
+        server.open.add(attempt);
         later(60 + random.nextInt(120), () -> {
             server.running--;
+            if (!server.open.remove(attempt) || lostLinks.get(host) == LinkLoss.HANGING) {
+                return;
+            }
             Event.AnswerHead head = new Event.AnswerHead(status, false, false, server.report(), false, server.limit);
             if (network.core(numberOf(host)) != null) {
                 network.scheduleEvent(host, new Event.AnswerStarted(send.attempt(), head), 1);
@@ -298,6 +385,8 @@
         now.forEach(action -> action.action.run());
     }
 
+    private record Attempt(String host, long number) {}
+
     private record Due(long at, Runnable action) {}
 
     private record Request(long at, boolean counted) {}
@@ -309,6 +398,8 @@
 
         private final Map<String, Long> toldAt = new HashMap<>();
 
+        private final Set<Attempt> open = new HashSet<>();
+
         private RequestLimit limit = RequestLimit.NONE;
 
         private long limitedSince;
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/RequestLimitTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/RequestLimitTest.java
@@ -190,7 +190,7 @@
     @Test
     void refusesAtOnceWhatLimitsLeaveNoPlaceFor() {
         for (long seed = 1; seed <= SEEDS; seed++) {
-            LimitedServerSimulation simulation = new LimitedServerSimulation(HOSTS, SERVERS, seed);
+            BackendSimulation simulation = new BackendSimulation(HOSTS, SERVERS, seed);
             simulation.limitAll(2);
             simulation.run(MILLISECONDS, elapsed -> {});
             double lateShare = (double) simulation.refusedLate / simulation.refusedUnsent;
@@ -213,13 +213,13 @@
 
         private final long seed;
 
-        private final LimitedServerSimulation simulation;
+        private final BackendSimulation simulation;
 
         private LongConsumer disruption = elapsed -> {};
 
         Scene(int hosts, long seed) {
             this.seed = seed;
-            simulation = new LimitedServerSimulation(hosts, SERVERS, seed);
+            simulation = new BackendSimulation(hosts, SERVERS, seed);
         }
     }
 }
