Send a backend server the caller's header fields once and no others

Each request to a backend server had two Host fields, the address that was connected to and the caller's, and a User-Agent and an Accept of the HTTP library. Servers that follow RFC 9112 answer such a request with 400; the users' servers take it. Cause: the library fills in its own fields before the gateway adds the caller's, and add does not replace.

The fields are now cleared first. Test: sendsCallersHeaderFieldsOnceAndNoOthers, which failed with accept, host twice and user-agent.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -167,14 +167,14 @@
     }
 
     /**
-     * Sets the header fields of an attempt's request: those of the caller's request that are forwarded, and those that
-     * the gateway adds.
+     * Replaces the header fields of an attempt's request, which the HTTP library has filled with its own, by those of
+     * the caller's request that are forwarded and those that the gateway adds.
      *
      * @param out the request to the backend server
      * @param send the decision that started the attempt
      */
     void setRequestHeaders(HttpClientRequest out, Decision.Send send) {
-        HttpHeaders headers = out.requestHeaders();
+        HttpHeaders headers = out.requestHeaders().clear();
         HttpServerRequest in = request.request();
         for (Map.Entry<String, String> header : in.requestHeaders()) {
             if (request.forwards(header.getKey())) {
