Open a door through which gateways forward calls to each other

Each gateway of a fleet listens at an address of its own for requests of other gateways and tells it in its digests; nobody else is served there, by the address that a connection comes from. A forwarded request keeps the caller's id, body and fingerprint, and gets the time and the number of attempts that are left, in header fields that no caller can set and no backend server sees. The gateway that takes it sends its own identity check and reads what the backend server states; of an answer the other one reads only whether it is a gateway's own statement that nothing ran. A backend server can no longer set that field.

ForwardingTest, two real gateways of which one cannot connect to the backend server: a lookup and an order arrive once, whole and with their signature; a failure of the server is passed on; an order whose answer was cut is never repeated; a refused one is stated as not run. RequestSourceTest for who may use the door. Metrics calls.forwarded and calls.taken.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -8,6 +8,9 @@
     /** The method of the request is not supported. */
     METHOD_UNSUPPORTED(501, "the method of the request is not supported"),
 
+    /** A request that only gateways may send came from elsewhere. */
+    NOT_A_GATEWAY(403, "only gateways of the fleet may forward requests"),
+
     /** The request's body exceeds the configured limit. */
     BODY_TOO_LARGE(413, "the request's body is too large"),
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Arrival.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Arrival.java
@@ -97,9 +97,10 @@
      * Returns a copy that another gateway forwarded.
      *
      * @param attempts the number of attempts that it leaves to this gateway
+     * @param originalFingerprint the fingerprint that it gave the request, by which copies are recognized everywhere
      * @return the changed copy
      */
-    public Arrival forwarded(int attempts) {
+    public Arrival forwarded(int attempts, long originalFingerprint) {
         return new Arrival(
                 method,
                 path,
@@ -108,7 +109,7 @@
                 replayable,
                 key,
                 keyAgeNanoseconds,
-                fingerprint,
+                originalFingerprint,
                 host,
                 attempts);
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetPeers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetPeers.java
@@ -257,6 +257,18 @@
         return peersByName.values();
     }
 
+    /**
+     * Returns whether an IP address is that of a known gateway.
+     *
+     * @param address the IP address
+     * @return {@code true} if a known gateway listens for others at it
+     */
+    public boolean includes(String address) {
+        String prefix = address + ':';
+        return peersByName.values().stream()
+                .anyMatch(peer -> peer.member().address().startsWith(prefix));
+    }
+
     /**
      * Returns the number of gateways that may be running at the same time, as far as this one knows.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderNames.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderNames.java
@@ -30,6 +30,15 @@
     /** The time after which the caller may retry a request, in seconds. */
     public static final String RETRY_AFTER = "Retry-After";
 
+    /** The number of attempts that the gateway which forwards a request leaves to the next one. */
+    public static final String FORWARDED_ATTEMPTS = "Chivecourse-Forwarded-Attempts";
+
+    /** The fingerprint of a request that another gateway forwards. */
+    public static final String FORWARDED_FINGERPRINT = "Chivecourse-Forwarded-Fingerprint";
+
+    /** The prefix, in lower case, of the header fields that only gateways exchange. */
+    private static final String FORWARDED_PREFIX = "chivecourse-forwarded-";
+
     /** The header fields that concern a single connection only, in lower case; see section 7.6.1 of RFC 9110. */
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
@@ -46,12 +55,13 @@
     private HeaderNames() {}
 
     /**
-     * Returns whether a header field concerns a single connection only and is therefore not forwarded.
+     * Returns whether a header field concerns a single connection or gateways only and is therefore not forwarded.
      *
      * @param name the name of the header field, in any case
      * @return {@code true} if a gateway does not forward the field
      */
     public static boolean hopByHop(String name) {
-        return HOP_BY_HOP.contains(name.toLowerCase(Locale.ROOT));
+        String lower = name.toLowerCase(Locale.ROOT);
+        return HOP_BY_HOP.contains(lower) || lower.startsWith(FORWARDED_PREFIX);
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -9,9 +9,12 @@
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.Outcome;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.protocol.http.HeaderDialect;
+import org.chivecourse.protocol.http.HeaderNames;
 import org.chivecourse.transport.driver.CoreDriver;
 import org.reactivestreams.Publisher;
 import reactor.core.Disposable;
@@ -124,7 +127,11 @@
         if (!proceeding || dropped) {
             return Mono.error(new IllegalStateException("the attempt was withdrawn"));
         }
-        registry.metrics().recordAttempt(send.number());
+        if (send.forwarded()) {
+            registry.metrics().recordForwarding();
+        } else {
+            registry.metrics().recordAttempt(send.number());
+        }
         exchange.setRequestHeaders(request, send);
         return exchange.sendBody(outbound);
     }
@@ -154,7 +161,9 @@
         if (mismatch != null) {
             return reportBrokenAnswer(mismatch);
         }
-        Event.AnswerHead answer = dialect.readAnswerHead(status, headers, exchange.refusalSignal());
+        Event.AnswerHead answer = send.forwarded()
+                ? readForwardedAnswerHead(status, headers)
+                : dialect.readAnswerHead(status, headers, exchange.refusalSignal());
         long statedLength = statedLength();
         if (bodyless() || statedLength < 0 || statedLength > MAXIMUM_BUFFERED_BODY_BYTES) {
             driver.handle(new Event.AnswerStarted(send.attempt(), answer));
@@ -169,6 +178,19 @@
                 .flatMap(body -> handleBufferedBody(body, statedLength, answer));
     }
 
+    /**
+     * Reads the head of an answer that came through another gateway. What a backend server states of itself in it is
+     * for that gateway.
+     *
+     * @param status the status code
+     * @param headers the header fields of the answer
+     * @return the properties of the answer that the decision core needs
+     */
+    private static Event.AnswerHead readForwardedAnswerHead(int status, HttpHeaders headers) {
+        boolean refused = ConstantNames.of(Outcome.NOT_RUN).equals(headers.get(HeaderNames.OUTCOME));
+        return new Event.AnswerHead(status, refused, false, null);
+    }
+
     /**
      * Informs the decision core of an answer whose body has arrived completely.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -94,6 +94,9 @@
      */
     Mono<Void> serve() {
         registry.add(this);
+        if (request.arrival().forwardedAttempts() > 0) {
+            registry.metrics().recordTaking();
+        }
         driver.handle(new Event.CallArrived(call, request.arrival()));
         return answerSink.asMono().flatMap(answerWriter -> answerWriter).doFinally(this::end);
     }
@@ -184,12 +187,18 @@
         if (request.chunked()) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
         }
-        long remaining = TimeUnit.NANOSECONDS.toMillis(send.deadline() - System.nanoTime());
+        long remaining = Math.max(1, TimeUnit.NANOSECONDS.toMillis(send.deadline() - System.nanoTime()));
+        if (send.forwarded()) {
+            headers.set(registry.dialect().deadlineField(), remaining);
+            headers.set(HeaderNames.FORWARDED_ATTEMPTS, send.forwardedAttempts());
+            headers.set(HeaderNames.FORWARDED_FINGERPRINT, Long.toHexString(fingerprint()));
+            return;
+        }
         registry.dialect()
                 .setRequestHeaders(
                         headers,
                         new HeaderDialect.OutgoingRequest(
-                                Math.max(1, remaining),
+                                remaining,
                                 request.arrival().depth() + 1,
                                 send.number(),
                                 send.address(),
@@ -251,6 +260,9 @@
                 headers.add(header.getKey(), header.getValue());
             }
         }
+        if (!attempt.decision().forwarded()) {
+            headers.remove(HeaderNames.OUTCOME);
+        }
         announceCloseIfStopping();
         Flux<ByteBuf> body = attempt.body();
         if (attempt.bodyless()) {
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -35,6 +35,9 @@
     /** The address to listen on. */
     private final InetSocketAddress address;
 
+    /** Who sends requests to this listener. */
+    private final RequestSource source;
+
     /** The limits on requests and connections. */
     private final HttpSettings settings;
 
@@ -69,6 +72,7 @@
      * Creates a listener that is not started.
      *
      * @param address the address to listen on
+     * @param source who sends requests to this listener
      * @param settings the limits on requests and connections
      * @param tls supplies the TLS context for callers, or {@code null} for plain connections
      * @param driver the driver of the decision core
@@ -77,12 +81,14 @@
      */
     public CallerListener(
             InetSocketAddress address,
+            RequestSource source,
             HttpSettings settings,
             Supplier<SslContext> tls,
             CoreDriver driver,
             ExchangeRegistry registry,
             LoopResources loops) {
         this.address = address;
+        this.source = source;
         this.settings = settings;
         this.tls = tls;
         this.driver = driver;
@@ -157,6 +163,9 @@
         if (stopped) {
             return refuse(response, Reason.STOPPING);
         }
+        if (!source.accepts(CallerRequest.callerAddress(request))) {
+            return refuse(response, Reason.NOT_A_GATEWAY);
+        }
         AtomicReference<Channel> channel = new AtomicReference<>();
         response.withConnection(connection -> channel.set(connection.channel()));
         connections.adjustExchangeCount(channel.get(), 1);
@@ -230,7 +239,7 @@
             HttpServerRequest request, HttpServerResponse response, Method method, byte[] body) {
         try {
             CallerRequest callerRequest = CallerRequest.read(
-                    request, method, refusalSignals, registry.dialect(), body, settings.maximumBodyBytes());
+                    request, method, refusalSignals, registry.dialect(), body, settings.maximumBodyBytes(), source);
             return new CallerExchange(
                             driver.nextCallIdentifier(), callerRequest, response, driver, registry, () -> stopping)
                     .serve();
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
@@ -67,6 +67,7 @@
      * @param dialect the header fields of callers
      * @param replayableBody the body if it is kept so that it can be sent again, {@code null} if it is streamed
      * @param maximumBodyBytes the maximum size of a streamed body
+     * @param source who sends the request
      * @return the request with its parsed values
      * @throws BadRequestException if the target, the idempotency key, the deadline or the depth is invalid
      */
@@ -76,7 +77,8 @@
             RefusalSignals refusalSignals,
             HeaderDialect dialect,
             byte[] replayableBody,
-            long maximumBodyBytes)
+            long maximumBodyBytes,
+            RequestSource source)
             throws BadRequestException {
         RequestTarget target = RequestTarget.parse(request.uri());
         HttpHeaders headers = request.requestHeaders();
@@ -107,7 +109,7 @@
                 request,
                 identifier,
                 target,
-                arrival,
+                source.complete(arrival, headers),
                 refusalSignals.forPath(target.path()),
                 replayableBody,
                 chunked,
@@ -134,7 +136,7 @@
      * @param request the request
      * @return the IP address, or {@code unknown} if the connection has none
      */
-    private static String callerAddress(HttpServerRequest request) {
+    static String callerAddress(HttpServerRequest request) {
         return request.remoteAddress() == null
                 ? "unknown"
                 : request.remoteAddress().getAddress().getHostAddress();
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMetrics.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMetrics.java
@@ -31,6 +31,12 @@
     /** The attempts that were dispatched to backend servers beyond the first of each call: retries and hedges. */
     private final Counter retriedAttempts;
 
+    /** The calls that were forwarded to other gateways. */
+    private final Counter forwardedCalls;
+
+    /** The calls that other gateways forwarded to this one. */
+    private final Counter takenCalls;
+
     /**
      * Creates the metrics and registers them.
      *
@@ -45,6 +51,8 @@
         unknownCalls = registry.counter("calls.unknown");
         sentAttempts = registry.counter("attempts.sent");
         retriedAttempts = registry.counter("attempts.repeated");
+        forwardedCalls = registry.counter("calls.forwarded");
+        takenCalls = registry.counter("calls.taken");
     }
 
     /**
@@ -59,6 +67,16 @@
         }
     }
 
+    /** Records that a call is forwarded to another gateway. */
+    void recordForwarding() {
+        forwardedCalls.inc();
+    }
+
+    /** Records that another gateway forwarded a call to this one. */
+    void recordTaking() {
+        takenCalls.inc();
+    }
+
     /**
      * Records that the gateway answered a call with an error that it generated.
      *
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -39,6 +39,7 @@
 import org.chivecourse.transport.http.CallerListener;
 import org.chivecourse.transport.http.ExchangeMetrics;
 import org.chivecourse.transport.http.ExchangeRegistry;
+import org.chivecourse.transport.http.RequestSource;
 import org.chivecourse.transport.http.ServerChecks;
 import org.chivecourse.transport.peer.PeerEndpoint;
 import org.chivecourse.transport.peer.PeerMetrics;
@@ -78,6 +79,9 @@
     /** Accepts callers' connections. */
     private final CallerListener callerListener;
 
+    /** Accepts requests that other gateways forward, {@code null} if they may not. */
+    private final CallerListener forwardingListener;
+
     /** Serves the status, the metrics, the trace and the readiness. */
     private final OperatorListener operatorListener;
 
@@ -170,11 +174,13 @@
                 driver, connections, environment.headerDialect(), SettingsTranslation.probeTimeout(settings));
         callerListener = new CallerListener(
                 listenAddress(settings.callers().address()),
+                RequestSource.Callers.INSTANCE,
                 settings.http(),
                 callerTls::context,
                 driver,
                 exchanges,
                 loopResources);
+        forwardingListener = createForwardingListener(loopResources);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::openExchanges);
         operatorListener = new OperatorListener(
                 listenAddress(settings.operators().address()),
@@ -189,6 +195,27 @@
         driver.setDecisionSink(this::perform);
     }
 
+    /**
+     * Creates the listener for requests that other gateways forward.
+     *
+     * @param loopResources the event loops that connections run on
+     * @return the listener, {@code null} if the settings name no address for it
+     */
+    private CallerListener createForwardingListener(LoopResources loopResources) {
+        if (settings.fleet() == null || settings.fleet().forwardingAddress().isEmpty()) {
+            return null;
+        }
+        return new CallerListener(
+                listenAddress(settings.fleet().forwardingAddress()),
+                new RequestSource.Gateways(address ->
+                        driver.read(core -> core.fleetExchange().peers().includes(address))),
+                settings.http(),
+                () -> null,
+                driver,
+                exchanges,
+                loopResources);
+    }
+
     /**
      * Creates the endpoint for digests. Messages are unauthenticated if no shared key is configured.
      *
@@ -230,6 +257,9 @@
         try {
             operatorListener.start();
             callerListener.start();
+            if (forwardingListener != null) {
+                forwardingListener.start();
+            }
             if (peerEndpoint != null) {
                 peerEndpoint.start();
             }
@@ -395,11 +425,17 @@
     public int stop() throws InterruptedException {
         long start = System.nanoTime();
         callerListener.announceStop();
+        if (forwardingListener != null) {
+            forwardingListener.announceStop();
+        }
         state = GatewayState.STOPPING;
         auditTrail.recordLifecycleEvent("stopping", "a stop was requested");
         driver.handle(new Event.StopRequested());
         waitUntil(start + settings.drain().linger().toNanos(), false);
         callerListener.stop();
+        if (forwardingListener != null) {
+            forwardingListener.stop();
+        }
         waitUntil(start + settings.drain().deadline().toNanos(), true);
         int abortedExchanges = exchanges.openExchanges();
         feeds.stop();
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/SettingsTranslation.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/SettingsTranslation.java
@@ -32,7 +32,8 @@
                         settings.peers().address(),
                         settings.fleet().seeds(),
                         settings.fleet().retryBudget(),
-                        settings.fleet().probeInterval().toNanos());
+                        settings.fleet().probeInterval().toNanos(),
+                        settings.fleet().forwardingAddress());
         return new HostSettings(
                 settings.name(),
                 settings.dataCentre(),
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetSettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetSettingsReader.java
@@ -50,11 +50,27 @@
                 reader.has("seeds") ? readSeeds(reader) : List.of(),
                 reader.has("repeats") ? readRetryBudget(reader.mapping("repeats")) : RetryLimits.DEFAULT,
                 readMilliseconds(reader, "probe-interval-milliseconds", DEFAULT_PROBE_INTERVAL_MILLISECONDS),
-                readMilliseconds(reader, "connect-timeout-milliseconds", DEFAULT_CONNECT_TIMEOUT_MILLISECONDS));
+                readMilliseconds(reader, "connect-timeout-milliseconds", DEFAULT_CONNECT_TIMEOUT_MILLISECONDS),
+                readForwardingAddress(reader));
         reader.rejectUnknownKeys();
         return fleet;
     }
 
+    /**
+     * Reads the address at which other gateways forward requests.
+     *
+     * @param reader the reader of the mapping {@code fleet}
+     * @return the address, empty if the key is missing
+     * @throws DocumentException if the value is not an address
+     */
+    private static String readForwardingAddress(MappingReader reader) throws DocumentException {
+        String address = reader.text("forwarding-address", "");
+        if (!address.isEmpty() && !Address.isValid(address)) {
+            reader.reportInvalidValue("forwarding-address", Address.ALLOWED_FORMAT);
+        }
+        return address;
+    }
+
     /**
      * Reads the addresses of the seeds.
      *
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
@@ -107,13 +107,16 @@
      * @param retryBudget the bound on the retries and hedges of all gateways together
      * @param probeInterval the interval between two probes of a backend server from one data centre
      * @param connectTimeout the timeout for opening a connection
+     * @param forwardingAddress the IP address and the port at which other gateways forward requests, empty if they may
+     *     not
      */
     public record Fleet(
             String publisher,
             List<String> seeds,
             RetryLimits retryBudget,
             Duration probeInterval,
-            Duration connectTimeout) {
+            Duration connectTimeout,
+            String forwardingAddress) {
 
         /** Creates a fleet with a copy of the seeds. */
         public Fleet {
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -118,6 +118,11 @@
         if (callers.equals(settings.operators().address()) && !callers.endsWith(":0")) {
             reader.reportInvalidValue("operators", "an address other than that of callers, \"" + callers + "\"");
         }
+        boolean forwarding = settings.fleet() != null
+                && !settings.fleet().forwardingAddress().isEmpty();
+        if (forwarding && !settings.backendTrust().isEmpty()) {
+            reader.reportInvalidValue("backend-trust", "empty, since gateways forward requests without TLS");
+        }
         reader.rejectUnknownKeys();
         return settings;
     }
