Take no callers while a gateway has neither links to backend servers nor a way through others

In large fleets a gateway that is no bridge knows only those of its own data centre. With all of them cut it could serve nobody, and stayed in rotation. It now withdraws its readiness until it has links or another gateway that takes calls, so that the platform sends callers to another data centre.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -283,7 +283,14 @@
                 configuration.revision())));
     }
 
-    /** Returns whether this host's links to the backend servers of a service are lost. */
+    /** Returns whether this host's links to the backend servers of every service are lost. */
+    public boolean allLinksLost() {
+        return !services.isEmpty()
+                && services.values().stream()
+                        .allMatch(service -> service.links().lost());
+    }
+
+    /** Returns whether this host's links to the backend servers of some service are lost. */
     public boolean linksLost() {
         return services.values().stream().anyMatch(service -> service.links().lost());
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/forward/ForwardingPeers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/forward/ForwardingPeers.java
@@ -103,6 +103,11 @@
         return peer.local() == other.local() ? peer.ownInFlight() < other.ownInFlight() : peer.local();
     }
 
+    /** Returns whether there is any gateway that takes calls. */
+    public boolean available() {
+        return !peersByName.isEmpty();
+    }
+
     /** Returns the gateways as backend servers, for the transport. */
     public List<BackendServer> servers() {
         List<BackendServer> servers = new ArrayList<>();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -63,6 +63,9 @@
     /** Whether the gateway has started to serve, which is never reset; see {@link #serves}. */
     private boolean serving;
 
+    /** The other gateways that take calls which this one cannot send. */
+    private final ForwardingPeers forwardingPeers;
+
     /** Monitors backend servers by health checks and probes. */
     private final ServerMonitor serverMonitor;
 
@@ -86,7 +89,7 @@
     public HostCore(HostSettings settings, RandomGenerator random, PublicationDecoder decoder) {
         this.settings = settings;
         publishedState = new PublishedState(decoder, new PublicationListener());
-        ForwardingPeers forwardingPeers = new ForwardingPeers(settings);
+        forwardingPeers = new ForwardingPeers(settings);
         services = new ServiceRegistry(settings, publishedState.registry(), forwardingPeers, random);
         membership = new Membership(settings, random);
         keyOwnership = new KeyOwnership(settings, membership);
@@ -290,7 +293,18 @@
     }
 
     /**
-     * Returns whether callers may be routed to this gateway.
+     * Returns whether callers may be routed to this gateway: it serves, and has a way to backend servers, by its own
+     * links or through another gateway.
+     *
+     * @param now the current time in nanoseconds
+     * @return {@code true} if callers are better off here than elsewhere
+     */
+    public boolean takesCallers(long now) {
+        return serves(now) && (!services.allLinksLost() || forwardingPeers.available());
+    }
+
+    /**
+     * Returns whether this gateway has started to serve.
      *
      * <p>The gateway starts to serve once a configuration is in force and it has caught up with its peers. In a fleet
      * whose gateways discover each other through seeds it also needs an announced backend server; with a host list, it
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.function.IntPredicate;
 import java.util.function.LongConsumer;
+import java.util.stream.IntStream;
 import org.chivecourse.configuration.format.ConfigurationWriter;
 import org.chivecourse.configuration.model.CallerRoute;
 import org.chivecourse.configuration.model.Configuration;
@@ -233,6 +234,14 @@
         }
     }
 
+    /** Returns the number of some gateways that callers may be routed to. */
+    int countTakingCallers(IntPredicate chosen) {
+        return (int) IntStream.range(0, gateways)
+                .filter(chosen)
+                .filter(number -> network.core(number).takesCallers(network.now()))
+                .count();
+    }
+
     /** Returns the number of changes that the gateways recorded on a subject. */
     int countChanges(Decision.Subject subject) {
         return changes.getOrDefault(subject, 0);
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LostLinksTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LostLinksTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.function.IntPredicate;
 import org.chivecourse.coordination.decision.Decision;
@@ -118,6 +119,21 @@
         assertServed("restart", simulation, number -> number == 4);
     }
 
+    /** Gateways that are no bridges know only those of their own data centre, all of which are cut. */
+    @Test
+    void gatewayWithoutAnyWayTakesNoCallersUntilItsLinksAreBack() {
+        BackendSimulation simulation = new BackendSimulation(36, SERVERS, 1);
+        IntPredicate cut = number -> number % 3 == 1;
+        simulation.run(FleetPeers.REMOTE_PEER_TIMEOUT_NANOSECONDS / 1_000_000 + 1000, elapsed -> {});
+        setLinkLoss(simulation, 36, LinkLoss.HANGING, cut);
+        simulation.run(ADAPTATION_MILLISECONDS, elapsed -> {});
+        assertThat(simulation.countTakingCallers(cut), lessThanOrEqualTo(BridgeElection.BRIDGES_PER_DATA_CENTRE));
+        assertThat(simulation.countTakingCallers(cut.negate()), equalTo(24));
+        setLinkLoss(simulation, 36, null, cut);
+        simulation.run(1000, elapsed -> {});
+        assertThat(simulation.countTakingCallers(number -> true), equalTo(36));
+    }
+
     @Test
     void servesThroughTwoCutsInARow() {
         BackendSimulation simulation = new BackendSimulation(HOSTS, SERVERS, 1);
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -373,7 +373,7 @@
      * @return {@code true} while the gateway runs and a configuration is in force
      */
     public boolean ready() {
-        return state == GatewayState.RUNNING && driver.read(core -> core.serves(System.nanoTime()));
+        return state == GatewayState.RUNNING && driver.read(core -> core.takesCallers(System.nanoTime()));
     }
 
     /** Returns the number of calls that have no final answer yet. */
