--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -301,7 +301,7 @@
         } else if (answer.report() != null) {
             services.recordLoadOfAnswer(server, answer.report(), now);
         }
-        services.recordLimit(server, statedLimit(answer), now, "answer with status " + answer.status(), now, sink);
+        services.limits().record(server, statedLimit(answer), now, "answer with status " + answer.status(), now, sink);
         if (answer.leaving()) {
             LeavingCause cause = answer.refused() ? LeavingCause.REFUSAL : LeavingCause.HEADER;
             services.markLeaving(server.identity(), cause, revision, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -109,7 +109,7 @@
         ServerCondition condition = candidate.server().condition();
         boolean silentSinceSent = condition.isSilent() && condition.silentSince() - candidate.attempt.sentAt() > 0;
         boolean silentForLong = silentSinceSent && condition.silenceNanoseconds() >= SILENCE_NANOSECONDS;
-        if (silentForLong && services.linksWorkedSinceSilence(candidate.server())) {
+        if (silentForLong && services.links().workedSinceSilence(candidate.server())) {
             return true;
         }
         return candidate.ended && (isGone(candidate.server()) || isSilentConfigured(candidate, now));
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -4,11 +4,9 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.model.CallerRoute;
@@ -25,12 +23,10 @@
 import org.chivecourse.coordination.route.RouteTable;
 import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.fleet.Crash;
-import org.chivecourse.state.fleet.LimitReport;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
 import org.chivecourse.state.server.LeavingCause;
 import org.chivecourse.state.server.LoadReport;
-import org.chivecourse.state.server.RequestLimit;
 import org.chivecourse.state.server.ServerState;
 
 /** The services of the configuration in force, with what this host knows of their backend servers. */
@@ -66,8 +62,11 @@
     /** The services by the identity of their backend servers. */
     private final Map<String, ServiceState> serviceOfServer = new HashMap<>();
 
-    /** The backend servers that stated a request limit, including those whose limit has ended. */
-    private final Set<ServerState> limitedServers = new LinkedHashSet<>();
+    /** The request limits of the backend servers. */
+    private final RequestLimitRegistry limits;
+
+    /** This host's own links to the backend servers. */
+    private final ServiceLinks links = new ServiceLinks(this);
 
     /** The number of hosts that may run gateways. */
     private int hostCount;
@@ -79,6 +78,7 @@
         this.registry = registry;
         this.forwardingPeers = forwardingPeers;
         this.random = random;
+        limits = new RequestLimitRegistry(this, random);
         hostCount = settings.expectedHosts();
         routes = new RouteTable(List.of(), random);
     }
@@ -177,51 +177,6 @@
         queueObservation(server, ObservationKind.LOAD, report.withoutAnsweredRequest(), now);
     }
 
-    /**
-     * Records the request limit that a backend server stated, and audits a change.
-     *
-     * @param limit the limit, {@code null} if the statement could not be read, which changes nothing
-     * @param statedAt the time of the statement, earlier than the current time if another host received it
-     * @param source where this host learnt of it, for the audit record
-     */
-    public void recordLimit(
-            ServerState server, RequestLimit limit, long statedAt, String source, long now, DecisionSink sink) {
-        RequestLimit previous = limit == null ? null : server.allowance().recordStatement(limit, statedAt, now);
-        if (previous != null) {
-            limitedServers.add(server);
-            sink.decide(new Decision.Audit(new Decision.Change(
-                    Decision.Subject.SERVER_LIMITED,
-                    server.identity(),
-                    previous.text(),
-                    limit.text(),
-                    source,
-                    configuration.revision())));
-        }
-    }
-
-    /**
-     * Applies what another gateway knows of a request limit. Ignored if this host does not know that process of the
-     * backend server.
-     *
-     * @param gateway the name of the other gateway
-     * @param incarnation the incarnation of the other gateway
-     */
-    public void applyLimitReport(LimitReport report, String gateway, long incarnation, long now, DecisionSink sink) {
-        ServerState server = servers.get(report.server());
-        if (server == null || server.incarnation() != report.incarnation()) {
-            return;
-        }
-        recordLimit(server, report.limit(), report.statedAt(), gateway, now, sink);
-        server.allowance().recordDispatchedByOther(gateway, incarnation, report.dispatched(), now, random.nextDouble());
-    }
-
-    /** Returns the backend servers with a request limit, and those whose limit ended a short time ago. */
-    public Set<ServerState> limitedServers(long now) {
-        limitedServers.removeIf(server ->
-                servers.get(server.identity()) != server || !server.allowance().reportable(now));
-        return limitedServers;
-    }
-
     /** Queues for other hosts that this host dispatched a request to a backend server. */
     public void recordDispatch(ServerState server, long now) {
         if (settings.fleet().enabled()) {
@@ -241,60 +196,6 @@
         server.contact().recordAnswer(now);
     }
 
-    /** Determines again for each service whether this host's links to its backend servers are lost. */
-    public void updateLinks(long now, DecisionSink sink) {
-        if (!settings.fleet().enabled()) {
-            return;
-        }
-        for (ServiceState service : services.values()) {
-            if (service.links().update(service.servers(), now)) {
-                auditLinks(service, sink);
-            }
-            reportUnreachable(service, now);
-        }
-    }
-
-    /** Queues for other hosts which backend servers of a service are out of reach for a reason of their own. */
-    private void reportUnreachable(ServiceState service, long now) {
-        for (ServerState server : service.servers()) {
-            if (server.contact().unreportedFailure()
-                    && service.links().workedSince(server.contact().failedAt())) {
-                server.contact().recordReport();
-                queueObservation(server, ObservationKind.UNREACHABLE, null, now);
-            }
-        }
-    }
-
-    /** Returns whether this host's links to a service have worked since a backend server of it fell silent. */
-    boolean linksWorkedSinceSilence(ServerState server) {
-        ServiceState service = serviceOfServer.get(server.identity());
-        return service == null || service.links().workedSince(server.condition().silentSince());
-    }
-
-    /** Audits that this host's links to the backend servers of a service are lost, or that they are back. */
-    private void auditLinks(ServiceState service, DecisionSink sink) {
-        boolean lost = service.links().lost();
-        sink.decide(new Decision.Audit(new Decision.Change(
-                Decision.Subject.LINKS,
-                service.service().name(),
-                lost ? "reached" : "lost",
-                lost ? "lost" : "reached",
-                lost ? "its backend servers answer other gateways only" : "one of its backend servers answered",
-                configuration.revision())));
-    }
-
-    /** Returns whether this host's links to the backend servers of every service are lost. */
-    public boolean allLinksLost() {
-        return !services.isEmpty()
-                && services.values().stream()
-                        .allMatch(service -> service.links().lost());
-    }
-
-    /** Returns whether this host's links to the backend servers of some service are lost. */
-    public boolean linksLost() {
-        return services.values().stream().anyMatch(service -> service.links().lost());
-    }
-
     /**
      * Records that this host could not reach a backend server. Others are told once this host's links have proved to
      * work since then.
@@ -348,7 +249,7 @@
      *
      * @param report the reported load, {@code null} if there is none
      */
-    private void queueObservation(ServerState server, ObservationKind kind, LoadReport report, long now) {
+    void queueObservation(ServerState server, ObservationKind kind, LoadReport report, long now) {
         if (settings.fleet().enabled() && servers.get(server.identity()) == server) {
             observations.add(new Observation(server.identity(), kind, report, now));
         }
@@ -440,6 +341,21 @@
         return services.values();
     }
 
+    /** Returns the request limits of the backend servers. */
+    public RequestLimitRegistry limits() {
+        return limits;
+    }
+
+    /** Returns this host's own links to the backend servers. */
+    public ServiceLinks links() {
+        return links;
+    }
+
+    /** Returns the settings of this host. */
+    HostSettings settings() {
+        return settings;
+    }
+
     /** Returns what this host observed of backend servers and has not yet sent to other hosts. */
     public ObservationOutbox observations() {
         return observations;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -398,7 +398,10 @@
                         ? publishedState.outageDetector().millisecondsSinceAnswer(now)
                         : poller.millisecondsSinceAnswer(now));
         return composer.compose(
-                content, publisherStatus, publishedState.registry().size() > 0 && !services.linksLost(), now);
+                content,
+                publisherStatus,
+                publishedState.registry().size() > 0 && !services.links().anyLost(),
+                now);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/RequestLimitExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/RequestLimitExchange.java
@@ -62,7 +62,7 @@
      * @param now the current time in nanoseconds
      */
     void assignSenders(long now) {
-        for (ServerState server : services.limitedServers(now)) {
+        for (ServerState server : services.limits().limitedServers(now)) {
             server.allowance().assignSenders(senderCount(server, now));
         }
     }
@@ -137,7 +137,7 @@
      * @return {@code true} if there is at least one
      */
     boolean hasChanged(long now) {
-        return services.limitedServers(now).stream()
+        return services.limits().limitedServers(now).stream()
                 .anyMatch(server -> server.allowance().unreported());
     }
 
@@ -149,7 +149,7 @@
      */
     List<LimitReport> pollChanged(long now) {
         List<LimitReport> reports = new ArrayList<>();
-        for (ServerState server : services.limitedServers(now)) {
+        for (ServerState server : services.limits().limitedServers(now)) {
             if (reports.size() < MAXIMUM_REPORTS && server.allowance().pollUnreported()) {
                 reports.add(report(server));
             }
@@ -164,7 +164,7 @@
      * @return at most {@link #MAXIMUM_REPORTS}
      */
     List<LimitReport> next(long now) {
-        List<ServerState> limited = List.copyOf(services.limitedServers(now));
+        List<ServerState> limited = List.copyOf(services.limits().limitedServers(now));
         List<LimitReport> reports = new ArrayList<>();
         for (int count = 0; count < Math.min(MAXIMUM_REPORTS, limited.size()); count++) {
             reports.add(report(limited.get(Math.floorMod(nextReportIndex++, limited.size()))));
@@ -197,7 +197,7 @@
      */
     void apply(FleetDigest digest, long now, DecisionSink sink) {
         for (LimitReport report : digest.limitReports()) {
-            services.applyLimitReport(report, digest.sender().name(), digest.incarnation(), now, sink);
+            services.limits().apply(report, digest.sender().name(), digest.incarnation(), now, sink);
         }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -141,7 +141,7 @@
     /** Performs the periodic work: timeouts and hedges of calls, health checks, probes and digests. */
     private void handleTimePassed(long now, DecisionSink sink) {
         calls.advanceTime(now, sink);
-        services.updateLinks(now, sink);
+        services.links().update(now, sink);
         serverMonitor.handleTimePassed(now, sink);
         if (settings.fleet().enabled()) {
             fleetExchange.runDueTasks(now, sink);
@@ -300,7 +300,7 @@
      * @return {@code true} if callers are better off here than elsewhere
      */
     public boolean takesCallers(long now) {
-        return serves(now) && (!services.allLinksLost() || forwardingPeers.available());
+        return serves(now) && (!services.links().allLost() || forwardingPeers.available());
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
@@ -145,7 +145,7 @@
         }
         boolean statesLimit = ended.limit() != null && !ended.limit().unlimited();
         if (statesLimit && ended.finding() != ProbeFinding.OTHER_SERVER) {
-            services.recordLimit(server, ended.limit(), now, "probe", now, sink);
+            services.limits().record(server, ended.limit(), now, "probe", now, sink);
         }
         if (ended.report() != null && ended.finding() != ProbeFinding.OTHER_SERVER) {
             services.recordLoad(server, ended.report(), now);
