Notice a silent end of a configured backend server on a host without a fleet again

Since silence counts as a server's end only once the links have proved to work, which is determined in fleets alone; a host with a host list no longer noticed such an end. Found by reading the change again. Hosts without a fleet keep the rule that they had. Test: SilentServerTest, which failed.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceLinks.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceLinks.java
@@ -55,7 +55,9 @@
     /** Returns whether the links to a service have worked since a backend server of it fell silent. */
     boolean workedSinceSilence(ServerState server) {
         ServiceState service = services.serviceOf(server.identity());
-        return service == null || service.links().workedSince(server.condition().silentSince());
+        return !services.settings().fleet().enabled()
+                || service == null
+                || service.links().workedSince(server.condition().silentSince());
     }
 
     /** Returns whether the links to every service are lost. */
