Put the listeners for requests into a class of their own

The listener for forwarded requests now also gets the refusal signals of the configuration, which it did not: with the product's own header fields a server's refusal of a forwarded request would have counted as its answer.

--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -36,10 +36,8 @@
 import org.chivecourse.protocol.trace.TraceRecorder;
 import org.chivecourse.transport.driver.CoreDriver;
 import org.chivecourse.transport.http.BackendConnections;
-import org.chivecourse.transport.http.CallerListener;
 import org.chivecourse.transport.http.ExchangeMetrics;
 import org.chivecourse.transport.http.ExchangeRegistry;
-import org.chivecourse.transport.http.RequestSource;
 import org.chivecourse.transport.http.ServerChecks;
 import org.chivecourse.transport.peer.PeerEndpoint;
 import org.chivecourse.transport.peer.PeerMetrics;
@@ -76,11 +74,8 @@
     /** Carries out health checks and load probes of backend servers. */
     private final ServerChecks healthChecks;
 
-    /** Accepts callers' connections. */
-    private final CallerListener callerListener;
-
-    /** Accepts requests that other gateways forward, {@code null} if they may not. */
-    private final CallerListener forwardingListener;
+    /** Accepts the requests of callers, and those that other gateways forward. */
+    private final RequestListeners requestListeners;
 
     /** Serves the status, the metrics, the trace and the readiness. */
     private final OperatorListener operatorListener;
@@ -172,18 +167,10 @@
                 settings.http().maximumBodyBytes());
         healthChecks = new ServerChecks(
                 driver, connections, environment.headerDialect(), SettingsTranslation.probeTimeout(settings));
-        callerListener = new CallerListener(
-                listenAddress(settings.callers().address()),
-                RequestSource.Callers.INSTANCE,
-                settings.http(),
-                callerTls::context,
-                driver,
-                exchanges,
-                loopResources);
-        forwardingListener = createForwardingListener(loopResources);
+        requestListeners = new RequestListeners(settings, callerTls, driver, exchanges, loopResources);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::openExchanges);
         operatorListener = new OperatorListener(
-                listenAddress(settings.operators().address()),
+                SettingsTranslation.listenAddress(settings.operators().address()),
                 this::ready,
                 this::status,
                 new MetricsPrinter(metrics),
@@ -195,27 +182,6 @@
         driver.setDecisionSink(this::perform);
     }
 
-    /**
-     * Creates the listener for requests that other gateways forward.
-     *
-     * @param loopResources the event loops that connections run on
-     * @return the listener, {@code null} if the settings name no address for it
-     */
-    private CallerListener createForwardingListener(LoopResources loopResources) {
-        if (settings.fleet() == null || settings.fleet().forwardingAddress().isEmpty()) {
-            return null;
-        }
-        return new CallerListener(
-                listenAddress(settings.fleet().forwardingAddress()),
-                new RequestSource.Gateways(address ->
-                        driver.read(core -> core.fleetExchange().peers().includes(address))),
-                settings.http(),
-                () -> null,
-                driver,
-                exchanges,
-                loopResources);
-    }
-
     /**
      * Creates the endpoint for digests. Messages are unauthenticated if no shared key is configured.
      *
@@ -229,7 +195,8 @@
             MessageAuthenticator authenticator = keyFile.isEmpty()
                     ? MessageAuthenticator.Disabled.INSTANCE
                     : new MessageAuthenticator.HmacSha256(Files.readAllBytes(Path.of(keyFile)));
-            InetSocketAddress address = listenAddress(settings.peers().address());
+            InetSocketAddress address =
+                    SettingsTranslation.listenAddress(settings.peers().address());
             return new PeerEndpoint(
                     address, new PeerCodec(authenticator), driver, new PeerMetrics(metrics), eventLoopGroup);
         } catch (IOException exception) {
@@ -237,17 +204,6 @@
         }
     }
 
-    /**
-     * Resolves an address to listen on.
-     *
-     * @param text the host name or IP address and the port
-     * @return the resolved socket address
-     */
-    private static InetSocketAddress listenAddress(String text) {
-        InetSocketAddress address = BackendConnections.unresolvedAddress(text);
-        return new InetSocketAddress(address.getHostString(), address.getPort());
-    }
-
     /**
      * Starts the gateway. It becomes ready once a configuration is in force.
      *
@@ -256,10 +212,7 @@
     public void start() throws GatewayException {
         try {
             operatorListener.start();
-            callerListener.start();
-            if (forwardingListener != null) {
-                forwardingListener.start();
-            }
+            requestListeners.start();
             if (peerEndpoint != null) {
                 peerEndpoint.start();
             }
@@ -326,7 +279,7 @@
         }
         if (decision instanceof Decision.Apply apply) {
             Configuration configuration = apply.configuration().configuration();
-            callerListener.setRefusalSignals(
+            requestListeners.setRefusalSignals(
                     path -> configuration.serviceFor(path).map(Service::refusal).orElse(RefusalSignal.NONE));
         } else if (decision instanceof Decision.UseServers use) {
             connections.apply(use.servers());
@@ -397,7 +350,7 @@
 
     /** Returns the port that callers connect to. */
     public int callerPort() {
-        return callerListener.port();
+        return requestListeners.callerPort();
     }
 
     /** Returns the port that operators connect to. */
@@ -424,18 +377,12 @@
      */
     public int stop() throws InterruptedException {
         long start = System.nanoTime();
-        callerListener.announceStop();
-        if (forwardingListener != null) {
-            forwardingListener.announceStop();
-        }
+        requestListeners.announceStop();
         state = GatewayState.STOPPING;
         auditTrail.recordLifecycleEvent("stopping", "a stop was requested");
         driver.handle(new Event.StopRequested());
         waitUntil(start + settings.drain().linger().toNanos(), false);
-        callerListener.stop();
-        if (forwardingListener != null) {
-            forwardingListener.stop();
-        }
+        requestListeners.stop();
         waitUntil(start + settings.drain().deadline().toNanos(), true);
         int abortedExchanges = exchanges.openExchanges();
         feeds.stop();
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/SettingsTranslation.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/SettingsTranslation.java
@@ -1,10 +1,12 @@
 package org.chivecourse.gateway.daemon;
 
+import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
 import org.chivecourse.coordination.host.FleetSettings;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.gateway.settings.GatewaySettings;
+import org.chivecourse.transport.http.BackendConnections;
 import org.chivecourse.transport.http.HttpSettings;
 import org.chivecourse.transport.http.ServerChecks;
 
@@ -83,4 +85,15 @@
                 ? ServerChecks.HEALTH_CHECK_TIMEOUT
                 : settings.fleet().connectTimeout().multipliedBy(2);
     }
+
+    /**
+     * Resolves an address to listen on.
+     *
+     * @param text the host name or IP address and the port
+     * @return the resolved socket address
+     */
+    static InetSocketAddress listenAddress(String text) {
+        InetSocketAddress address = BackendConnections.unresolvedAddress(text);
+        return new InetSocketAddress(address.getHostString(), address.getPort());
+    }
 }
