--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -1,7 +1,5 @@
 package org.chivecourse.coordination.fleet;
 
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -13,19 +11,12 @@
 import java.util.function.IntPredicate;
 import java.util.function.LongConsumer;
 import java.util.stream.IntStream;
-import org.chivecourse.configuration.format.ConfigurationWriter;
-import org.chivecourse.configuration.model.CallerRoute;
-import org.chivecourse.configuration.model.Configuration;
-import org.chivecourse.configuration.model.Discovery;
-import org.chivecourse.configuration.model.Idempotency;
 import org.chivecourse.configuration.model.Method;
-import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.Outcome;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.measure.ProbeFinding;
-import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.RequestLimit;
 
 /**
@@ -73,7 +64,7 @@
 
     private final Map<String, Long> disturbedUntil = new HashMap<>();
 
-    private final List<Due> due = new ArrayList<>();
+    private final SimulatedTimers timers = new SimulatedTimers();
 
     private final Map<String, LinkLoss> lostLinks = new HashMap<>();
 
@@ -109,7 +100,7 @@
         for (int number = 0; number < serverCount; number++) {
             startServer("i" + number, "dc-" + number % 3);
         }
-        network.publish(configuration());
+        network.publish(SimulatedRoutes.configuration(TIMEOUT_MILLISECONDS));
         advance(2000, false, elapsed -> {});
     }
 
@@ -117,23 +108,6 @@
         return network;
     }
 
-    private static PublishedItem configuration() {
-        Configuration configuration = Configuration.revision(2)
-                .service(Service.named("jobs").discovery(Discovery.DEFAULT))
-                .callerRoute(CallerRoute.of("lookups", "jobs.example", "/lookups/", "jobs")
-                        .idempotency(Idempotency.IDEMPOTENT)
-                        .attempts(2)
-                        .rank(2)
-                        .times(Duration.ofMillis(TIMEOUT_MILLISECONDS), Duration.ofMillis(300)))
-                .callerRoute(CallerRoute.of("orders", "jobs.example", "/orders/", "jobs")
-                        .idempotency(Idempotency.NOT_IDEMPOTENT)
-                        .attempts(2)
-                        .rank(1)
-                        .times(Duration.ofMillis(TIMEOUT_MILLISECONDS), Duration.ofMillis(400)));
-        String text = new ConfigurationWriter().printUnchecked(configuration);
-        return new PublishedItem(TextDecoder.CONFIGURATION, 0, text.getBytes(StandardCharsets.UTF_8));
-    }
-
     /** Starts a backend server. */
     void startServer(String identity, String dataCentre) {
         servers.put(identity, new SimulatedBackendServer());
@@ -158,7 +132,7 @@
 
     private void advance(long milliseconds, boolean traffic, LongConsumer disruption) {
         for (long elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
-            runDue();
+            timers.run(milliseconds());
             disruption.accept(elapsed);
             double expected = traffic ? requestsPerSecond * STEP_MILLISECONDS / 1000 : 0;
             while (random.nextDouble() < expected) {
@@ -468,14 +442,7 @@
     }
 
     private void later(long delayMilliseconds, Runnable action) {
-        due.add(new Due(milliseconds() + delayMilliseconds, action));
-    }
-
-    private void runDue() {
-        List<Due> now =
-                due.stream().filter(action -> action.at <= milliseconds()).toList();
-        due.removeAll(now);
-        now.forEach(action -> action.action.run());
+        timers.schedule(milliseconds() + delayMilliseconds, action);
     }
 
     record Attempt(String host, long number) {}
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
@@ -1,7 +1,5 @@
 package org.chivecourse.coordination.fleet;
 
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,13 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.chivecourse.configuration.format.ConfigurationWriter;
-import org.chivecourse.configuration.model.CallerRoute;
-import org.chivecourse.configuration.model.Configuration;
-import org.chivecourse.configuration.model.Discovery;
-import org.chivecourse.configuration.model.Idempotency;
 import org.chivecourse.configuration.model.Method;
-import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.event.Arrival;
@@ -75,7 +67,7 @@
 
     private final Map<String, Boolean> ordinary = new HashMap<>();
 
-    private final List<Due> due = new ArrayList<>();
+    private final SimulatedTimers timers = new SimulatedTimers();
 
     private final List<Crashing> crashing = new ArrayList<>();
 
@@ -131,7 +123,7 @@
 
     /** Lets the fleet find itself, and then runs a number of crashing requests beside ordinary ones. */
     void run(int crashingRequests, boolean idempotent, long milliseconds, Disruption disruption) {
-        network.publish(configuration());
+        network.publish(SimulatedRoutes.configuration(timeoutMilliseconds));
         advance(2000, false, elapsed -> {});
         for (int number = 0; number < crashingRequests; number++) {
             crashing.add(new Crashing(FIRST_CRASHING_FINGERPRINT + number, idempotent));
@@ -139,26 +131,9 @@
         advance(milliseconds, true, disruption);
     }
 
-    private PublishedItem configuration() {
-        Configuration configuration = Configuration.revision(2)
-                .service(Service.named("jobs").discovery(Discovery.DEFAULT))
-                .callerRoute(CallerRoute.of("lookups", "jobs.example", "/lookups/", "jobs")
-                        .idempotency(Idempotency.IDEMPOTENT)
-                        .attempts(2)
-                        .rank(2)
-                        .times(Duration.ofMillis(timeoutMilliseconds), Duration.ofMillis(300)))
-                .callerRoute(CallerRoute.of("orders", "jobs.example", "/orders/", "jobs")
-                        .idempotency(Idempotency.NOT_IDEMPOTENT)
-                        .attempts(2)
-                        .rank(1)
-                        .times(Duration.ofMillis(timeoutMilliseconds), Duration.ofMillis(400)));
-        String text = new ConfigurationWriter().printUnchecked(configuration);
-        return new PublishedItem(TextDecoder.CONFIGURATION, 0, text.getBytes(StandardCharsets.UTF_8));
-    }
-
     private void advance(long milliseconds, boolean traffic, Disruption disruption) {
         for (long elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
-            runDue();
+            timers.run(milliseconds());
             if (traffic) {
                 disruption.apply(elapsed);
                 arrivals(elapsed);
@@ -351,14 +326,7 @@
     }
 
     private void later(long delayMilliseconds, Runnable action) {
-        due.add(new Due(milliseconds() + delayMilliseconds, action));
-    }
-
-    private void runDue() {
-        List<Due> now =
-                due.stream().filter(action -> action.at <= milliseconds()).toList();
-        due.removeAll(now);
-        now.forEach(action -> action.action.run());
+        timers.schedule(milliseconds() + delayMilliseconds, action);
     }
 
     /** Disturbs the simulation at a time. */
@@ -368,8 +336,6 @@
         void apply(long elapsedMilliseconds);
     }
 
-    private record Due(long at, Runnable action) {}
-
     private record Attempt(String host, long number) {}
 
     /** A backend server. */
