Bound the time after which callers of limited backend servers are asked to return

With a limit near zero and a gateway that may not send, Retry-After could be minutes, or without an end if the limit ended at that moment. It is now at most 30 s on average.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/RetryAfterDelay.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/RetryAfterDelay.java
@@ -27,6 +27,9 @@
     /** The mean delay while the gateway has just started and has no configuration yet. */
     private static final long STARTUP_DELAY_MILLISECONDS = 150;
 
+    /** The maximum mean delay while backend servers limit their requests. */
+    private static final double MAXIMUM_LIMITED_DELAY_NANOSECONDS = 30_000_000_000.0;
+
     /** The number of nanoseconds in a millisecond. */
     private static final double NANOSECONDS_PER_MILLISECOND = 1_000_000.0;
 
@@ -72,14 +75,16 @@
 
     /**
      * Returns the time after which a service whose backend servers limit their requests can take another one, in
-     * nanoseconds: after the calls that wait on this host, or on average on any other.
+     * nanoseconds: after the calls that wait on this host, or on average on any other, and at most {@link
+     * #MAXIMUM_LIMITED_DELAY_NANOSECONDS}.
      */
     private static double limitedNanoseconds(ServiceState service, int hostCount, long now) {
         LimitedCapacity limited = LimitedCapacity.of(service.servers(), now);
         long waitNanoseconds = limited.waitNanoseconds(service.waitingCalls().size(), 0);
-        return waitNanoseconds == LimitedCapacity.NEVER
-                ? hostCount / Math.max(Double.MIN_NORMAL, limited.requestsPerNanosecond())
+        double expected = waitNanoseconds == LimitedCapacity.NEVER
+                ? hostCount / limited.requestsPerNanosecond()
                 : waitNanoseconds;
+        return Math.min(MAXIMUM_LIMITED_DELAY_NANOSECONDS, expected);
     }
 
     /** Returns a random time between half and one and a half times the given one, in milliseconds, at least one. */
