Tell the numbers of different gateways apart in the simulations of backend servers

Both simulations kept calls and attempts under the gateway's name followed by the number, so that number 23 of host-1 and number 3 of host-12 were the same key. With ten gateways or more sends were mixed up; a reading of the code saw a null pointer come of it. The key is a record of both now. Also removes a record that nothing used.

--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -52,15 +52,15 @@
 
     private final Map<String, SimulatedBackendServer> servers = new LinkedHashMap<>();
 
-    private final Map<String, Decision.Send> sends = new HashMap<>();
+    private final Map<HostNumber, Decision.Send> sends = new HashMap<>();
 
-    private final Map<String, Long> arrivals = new HashMap<>();
+    private final Map<HostNumber, Long> arrivals = new HashMap<>();
 
-    private final Map<String, Arrival> arrivalOf = new HashMap<>();
+    private final Map<HostNumber, Arrival> arrivalOf = new HashMap<>();
 
-    private final Map<String, Attempt> forwardedFrom = new HashMap<>();
+    private final Map<HostNumber, HostNumber> forwardedFrom = new HashMap<>();
 
-    private final Map<String, Long> forwardedTo = new HashMap<>();
+    private final Map<HostNumber, Long> forwardedTo = new HashMap<>();
 
     private final Map<String, Long> disturbedUntil = new HashMap<>();
 
@@ -151,7 +151,7 @@
         }
         boolean lookup = random.nextDouble() < 0.7;
         long call = nextCall++;
-        arrivals.put(host + call, milliseconds());
+        arrivals.put(new HostNumber(host, call), milliseconds());
         outcomes.computeIfAbsent(host, key -> new CallerOutcomes()).arrived++;
         Arrival arrival = new Arrival(
                 lookup ? Method.GET : Method.POST,
@@ -163,7 +163,7 @@
                 -1,
                 call,
                 "jobs.example");
-        arrivalOf.put(host + call, arrival);
+        arrivalOf.put(new HostNumber(host, call), arrival);
         network.handle(host, new Event.CallArrived(call, arrival));
     }
 
@@ -277,24 +277,24 @@
 
     private void perform(String host, Decision decision) {
         if (decision instanceof Decision.Send send) {
-            sends.put(host + send.attempt(), send);
+            sends.put(new HostNumber(host, send.attempt()), send);
             connect(host, send);
         } else if (decision instanceof Decision.Proceed proceed) {
-            receive(host, sends.get(host + proceed.attempt()));
+            receive(host, sends.get(new HostNumber(host, proceed.attempt())));
         } else if (decision instanceof Decision.Deliver deliver) {
             recordDelivery(host, deliver.call());
             network.scheduleEvent(host, new Event.AnswerCompleted(deliver.attempt()), 1);
             answerForwarded(host, deliver.call(), new Event.AnswerHead(200, false, false, null));
-            if (sends.get(host + deliver.attempt()).forwarded()) {
+            if (sends.get(new HostNumber(host, deliver.attempt())).forwarded()) {
                 return;
             }
-            SimulatedBackendServer server =
-                    servers.get(sends.get(host + deliver.attempt()).address());
+            SimulatedBackendServer server = servers.get(
+                    sends.get(new HostNumber(host, deliver.attempt())).address());
             if (!server.limit.unlimited()) {
                 server.toldAt.putIfAbsent(host, milliseconds());
             }
         } else if (decision instanceof Decision.Drop drop) {
-            drop(host, sends.get(host + drop.attempt()));
+            drop(host, sends.get(new HostNumber(host, drop.attempt())));
         } else if (decision instanceof Decision.Probe probe) {
             probe(host, probe);
         } else if (decision instanceof Decision.Refuse refuse) {
@@ -322,31 +322,32 @@
     }
 
     private void refuse(String host, Decision.Refuse refuse) {
-        if (forwardedFrom.containsKey(host + refuse.call())) {
+        if (forwardedFrom.containsKey(new HostNumber(host, refuse.call()))) {
             boolean notRun = refuse.refusal().outcome() == Outcome.NOT_RUN;
             int status = refuse.refusal().reason().status();
             answerForwarded(host, refuse.call(), new Event.AnswerHead(status, notRun, false, null));
         } else if (refuse.refusal().explanation().indexOf("MAY_HAVE_RUN") < 0) {
-            long waited = milliseconds() - arrivals.get(host + refuse.call());
+            long waited = milliseconds() - arrivals.get(new HostNumber(host, refuse.call()));
             refusedUnsent++;
             refusedLate += waited > PROMPT_MILLISECONDS ? 1 : 0;
         }
     }
 
     private void recordDelivery(String host, long call) {
-        if (forwardedFrom.containsKey(host + call)) {
+        if (forwardedFrom.containsKey(new HostNumber(host, call))) {
             return;
         }
         delivered++;
         CallerOutcomes own = outcomes.get(host);
-        if (own != null && milliseconds() - arrivals.getOrDefault(host + call, 0L) <= TIMEOUT_MILLISECONDS) {
+        if (own != null
+                && milliseconds() - arrivals.getOrDefault(new HostNumber(host, call), 0L) <= TIMEOUT_MILLISECONDS) {
             own.served++;
         }
     }
 
     /** Passes the answer to a call that another gateway forwarded back to that gateway. */
     private void answerForwarded(String host, long call, Event.AnswerHead head) {
-        Attempt origin = forwardedFrom.remove(host + call);
+        HostNumber origin = forwardedFrom.remove(new HostNumber(host, call));
         if (origin != null && network.core(numberOf(origin.host())) != null) {
             network.scheduleEvent(origin.host(), new Event.AnswerStarted(origin.number(), head), 1);
         }
@@ -360,10 +361,10 @@
             return;
         }
         long call = nextCall++;
-        arrivals.put(target + call, milliseconds());
-        forwardedFrom.put(target + call, new Attempt(host, send.attempt()));
-        forwardedTo.put(host + send.attempt(), call);
-        Arrival original = arrivalOf.get(host + send.call());
+        arrivals.put(new HostNumber(target, call), milliseconds());
+        forwardedFrom.put(new HostNumber(target, call), new HostNumber(host, send.attempt()));
+        forwardedTo.put(new HostNumber(host, send.attempt()), call);
+        Arrival original = arrivalOf.get(new HostNumber(host, send.call()));
         Arrival arrival = new Arrival(
                 original.method(),
                 original.path(),
@@ -380,11 +381,11 @@
 
     private void drop(String host, Decision.Send send) {
         if (!send.forwarded()) {
-            servers.get(send.address()).open.remove(new Attempt(host, send.attempt()));
+            servers.get(send.address()).open.remove(new HostNumber(host, send.attempt()));
             return;
         }
         String target = send.address().substring("gateway/".length());
-        Long call = forwardedTo.get(host + send.attempt());
+        Long call = forwardedTo.get(new HostNumber(host, send.attempt()));
         if (call != null && network.core(numberOf(target)) != null) {
             network.scheduleEvent(target, new Event.CallerDisconnected(call), 1);
         }
@@ -405,7 +406,7 @@
                 host, new Event.AttemptUnsent(send.attempt(), "no connection"), loss.failureMilliseconds());
     }
 
-    private void reset(SimulatedBackendServer server, Attempt attempt) {
+    private void reset(SimulatedBackendServer server, HostNumber attempt) {
         if (server.open.remove(attempt) && network.core(numberOf(attempt.host())) != null) {
             network.scheduleEvent(attempt.host(), new Event.AttemptBroken(attempt.number(), "reset"), 1);
         }
@@ -427,7 +428,7 @@
         server.receive(new SimulatedBackendServer.Request(milliseconds(), counted));
         int status = random.nextDouble() < errorShare ? 500 : 200;
         server.running++;
-        Attempt attempt = new Attempt(host, send.attempt());
+        HostNumber attempt = new HostNumber(host, send.attempt());
         server.open.add(attempt);
         later(60 + random.nextInt(120), () -> {
             server.running--;
@@ -444,8 +445,4 @@
     private void later(long delayMilliseconds, Runnable action) {
         timers.schedule(milliseconds() + delayMilliseconds, action);
     }
-
-    record Attempt(String host, long number) {}
-
-    private record Due(long at, Runnable action) {}
 }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
@@ -61,11 +61,11 @@
 
     private final Map<String, Server> servers = new LinkedHashMap<>();
 
-    private final Map<String, Decision.Send> sends = new HashMap<>();
+    private final Map<HostNumber, Decision.Send> sends = new HashMap<>();
 
-    private final Map<String, Long> fingerprints = new HashMap<>();
+    private final Map<HostNumber, Long> fingerprints = new HashMap<>();
 
-    private final Map<String, Boolean> ordinary = new HashMap<>();
+    private final Map<HostNumber, Boolean> ordinary = new HashMap<>();
 
     private final SimulatedTimers timers = new SimulatedTimers();
 
@@ -162,8 +162,8 @@
             return;
         }
         long call = nextCall++;
-        fingerprints.put(host + call, fingerprint);
-        ordinary.put(host + call, fingerprint >= POPULAR_FINGERPRINT);
+        fingerprints.put(new HostNumber(host, call), fingerprint);
+        ordinary.put(new HostNumber(host, call), fingerprint >= POPULAR_FINGERPRINT);
         network.handle(
                 host,
                 new Event.CallArrived(
@@ -230,19 +230,21 @@
 
     private void perform(String host, Decision decision) {
         if (decision instanceof Decision.Send send) {
-            sends.put(host + send.attempt(), send);
+            sends.put(new HostNumber(host, send.attempt()), send);
             connect(host, send);
         } else if (decision instanceof Decision.Proceed proceed) {
-            receive(host, sends.get(host + proceed.attempt()));
+            receive(host, sends.get(new HostNumber(host, proceed.attempt())));
         } else if (decision instanceof Decision.Drop drop) {
-            servers.get(sends.get(host + drop.attempt()).address()).open.remove(new Attempt(host, drop.attempt()));
+            servers.get(sends.get(new HostNumber(host, drop.attempt())).address())
+                    .open
+                    .remove(new HostNumber(host, drop.attempt()));
         } else if (decision instanceof Decision.Deliver deliver) {
             network.scheduleEvent(host, new Event.AnswerCompleted(deliver.attempt()), 1);
         } else if (decision instanceof Decision.Probe probe) {
             probe(host, probe);
         } else if (decision instanceof Decision.Refuse refuse
                 && refuse.refusal().reason() == Reason.CONVICTED
-                && ordinary.getOrDefault(host + refuse.call(), false)) {
+                && ordinary.getOrDefault(new HostNumber(host, refuse.call()), false)) {
             ordinaryBlocked++;
         }
     }
@@ -257,7 +259,7 @@
 
     private void receive(String host, Decision.Send send) {
         Server server = servers.get(send.address());
-        Attempt attempt = new Attempt(host, send.attempt());
+        HostNumber attempt = new HostNumber(host, send.attempt());
         server.open.add(attempt);
         if (!server.alive) {
             return;
@@ -266,7 +268,7 @@
             answer(server, attempt, 500, 5);
             return;
         }
-        long fingerprint = fingerprints.get(host + send.call());
+        long fingerprint = fingerprints.get(new HostNumber(host, send.call()));
         for (Crashing request : crashing) {
             if (request.fingerprint == fingerprint) {
                 request.recordSend(milliseconds(), disturbedUntil.getOrDefault(host, 0L) <= milliseconds());
@@ -283,7 +285,7 @@
         }
     }
 
-    private void answer(Server server, Attempt attempt, int status, long delayMilliseconds) {
+    private void answer(Server server, HostNumber attempt, int status, long delayMilliseconds) {
         later(delayMilliseconds, () -> {
             if (server.alive && server.open.remove(attempt)) {
                 network.scheduleEvent(
@@ -295,7 +297,7 @@
         });
     }
 
-    private void reset(Server server, Attempt attempt) {
+    private void reset(Server server, HostNumber attempt) {
         if (server.open.remove(attempt)) {
             network.scheduleEvent(attempt.host(), new Event.AttemptBroken(attempt.number(), "reset"), 1);
         }
@@ -335,15 +337,12 @@
 
         void apply(long elapsedMilliseconds);
     }
-
-    private record Attempt(String host, long number) {}
-
     /** A backend server. */
     private static final class Server {
 
         private final String identity;
 
-        private final Set<Attempt> open = new HashSet<>();
+        private final Set<HostNumber> open = new HashSet<>();
 
         private boolean alive = true;
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedBackendServer.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedBackendServer.java
@@ -25,7 +25,7 @@
 
     final Map<String, Long> toldAt = new HashMap<>();
 
-    final Set<BackendSimulation.Attempt> open = new HashSet<>();
+    final Set<HostNumber> open = new HashSet<>();
 
     RequestLimit limit = RequestLimit.NONE;
 
