Log when a request becomes possibly suspected, when that is withdrawn, and when an answer clears it

They are `change` lines of the subject `request-suspected`, one a change of what the gateway knows. No decision changes.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -7,6 +7,7 @@
 import org.chivecourse.coordination.ejection.Ejection;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.limit.RequestPermits;
+import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.state.call.AttemptState;
 import org.chivecourse.state.call.CallPhase;
@@ -169,7 +170,7 @@
         }
         services.recordFailure(attempt.server(), now);
         recordFailure(attempt.server(), event.reason(), now, sink);
-        crashDetector.recordBreak(attempt, now);
+        crashDetector.recordBreak(attempt, now, sink);
         if (attempt.call().phase() == CallPhase.ATTEMPTING) {
             continuation.retryOrAbandon(attempt.call(), Reason.CONNECTION_BROKEN, now, sink);
         } else if (attempt.call().phase() == CallPhase.DELIVERING) {
@@ -209,11 +210,23 @@
             }
         } else {
             recordSuccess(attempt, now);
-            poisonRequests.recordAnswer(attempt.call().terms().fingerprint(), now, now);
+            recordGoodAnswer(attempt, now, sink);
         }
         deliver(attempt, sink);
     }
 
+    /** Records that a request which may be suspected was answered well. */
+    private void recordGoodAnswer(AttemptState attempt, long now, DecisionSink sink) {
+        long fingerprint = attempt.call().terms().fingerprint();
+        if (poisonRequests.recordAnswer(fingerprint, now, now)) {
+            services.auditSuspicion(
+                    CrashFinding.CLEARED,
+                    fingerprint,
+                    "answer of " + attempt.server().identity(),
+                    sink);
+        }
+    }
+
     /** Delivers the answer of an attempt and ends the other attempts of its call. */
     private void deliver(AttemptState attempt, DecisionSink sink) {
         attempt.call().enterPhase(CallPhase.DELIVERING);
@@ -232,7 +245,7 @@
             return;
         }
         if (answer.status() < MINIMUM_SERVER_ERROR_STATUS) {
-            poisonRequests.recordAnswer(attempt.call().terms().fingerprint(), now, now);
+            recordGoodAnswer(attempt, now, sink);
         }
         deliver(attempt, sink);
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.List;
 import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.state.call.AttemptState;
 import org.chivecourse.state.call.CallTerms;
@@ -66,13 +67,14 @@
     }
 
     /** Records that the connection of an attempt broke before the backend server answered. */
-    void recordBreak(AttemptState attempt, long now) {
+    void recordBreak(AttemptState attempt, long now, DecisionSink sink) {
         for (WatchedAttempt candidate : watched) {
             if (candidate.attempt == attempt && !attempt.answered()) {
                 candidate.broken = true;
                 candidate.recordEnd(now);
                 poisonRequests.suspect(
                         candidate.fingerprint(), candidate.server().processName(), now);
+                audit(CrashFinding.POSSIBLE, candidate, "its connection broke", sink);
             }
         }
     }
@@ -97,6 +99,10 @@
             } else if (isUnharmed(candidate, now)) {
                 iterator.remove();
                 dismiss(candidate);
+                if (candidate.broken) {
+                    String cause = showedLife(candidate) ? "showed life" : "did not end";
+                    audit(CrashFinding.WITHDRAWN, candidate, cause, sink);
+                }
             }
         }
     }
@@ -165,6 +171,12 @@
         }
     }
 
+    /** Audits a finding about an attempt, with what the backend server did. */
+    private void audit(CrashFinding finding, WatchedAttempt candidate, String cause, DecisionSink sink) {
+        services.auditSuspicion(
+                finding, candidate.fingerprint(), candidate.server().processName() + ": " + cause, sink);
+    }
+
     /** An attempt that has been sent. */
     private static final class WatchedAttempt {
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -224,6 +224,13 @@
         }
     }
 
+    /** Audits a finding about a request that this host may suspect, in a fleet that exchanges such findings. */
+    void auditSuspicion(CrashFinding finding, long fingerprint, String cause, DecisionSink sink) {
+        if (settings.fleet().enabled()) {
+            finding.audit(fingerprint, cause, configuration.revision(), sink);
+        }
+    }
+
     /**
      * Audits what the end of a backend server that this host found means for a request: that the request is blocked,
      * and in a fleet that exchanges such findings everything else that it changes.
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -228,7 +228,10 @@
         }
         requestLimits.apply(digest, now, sink);
         for (AnsweredRequest answered : digest.answeredRequests()) {
-            poisonRequests.recordAnswer(answered.fingerprint(), answered.answeredAt(), now);
+            if (poisonRequests.recordAnswer(answered.fingerprint(), answered.answeredAt(), now)) {
+                String cause = "answer known from " + sender.member().name();
+                CrashFinding.CLEARED.audit(answered.fingerprint(), cause, revision(), sink);
+            }
         }
         for (Crash crash : digest.crashes()) {
             CrashFinding finding = poisonRequests.recordCrash(crash, now);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/CrashFinding.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/CrashFinding.java
@@ -7,6 +7,15 @@
 
 /** What the end of a backend server means for a request that was running there. */
 public enum CrashFinding {
+    /** The server broke the connection of the request and may have ended. */
+    POSSIBLE,
+
+    /** The server runs, so that the break says nothing about the request. */
+    WITHDRAWN,
+
+    /** A good answer to the request cleared what was recorded before. */
+    CLEARED,
+
     /** It counts against the request. */
     COUNTED,
 
@@ -54,15 +63,27 @@
      * @param sink receives the audit record
      */
     public void audit(Crash crash, String source, long revision, DecisionSink sink) {
+        audit(crash.fingerprint(), "end of " + crash.server() + " known from " + source, revision, sink);
+    }
+
+    /**
+     * Audits the finding, unless it changes nothing.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @param cause what the finding is based on
+     * @param revision the revision of the configuration in force
+     * @param sink receives the audit record
+     */
+    public void audit(long fingerprint, String cause, long revision, DecisionSink sink) {
         if (changesNothing()) {
             return;
         }
         sink.decide(new Decision.Audit(new Decision.Change(
                 Decision.Subject.REQUEST_SUSPECTED,
-                Long.toHexString(crash.fingerprint()),
+                Long.toHexString(fingerprint),
                 "",
                 name().toLowerCase(Locale.ROOT),
-                "end of " + crash.server() + " known from " + source,
+                cause,
                 revision)));
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -128,11 +128,12 @@
      * Records that a backend server ran a request to a good end. Clears earlier coincidences. A block is not lifted.
      *
      * @param answeredAt the time of the answer in nanoseconds
+     * @return {@code true} if there was an end of a server to clear
      */
-    public void recordAnswer(long fingerprint, long answeredAt, long now) {
+    public boolean recordAnswer(long fingerprint, long answeredAt, long now) {
         Suspicion suspicion = suspicions.get(fingerprint);
         if (suspicion == null || suspicion.blockedUntil != 0) {
-            return;
+            return false;
         }
         suspicion.unconfirmed.clear();
         boolean known = suspicion.answered && answeredAt - suspicion.answeredAt <= 0;
@@ -144,6 +145,7 @@
         if (suspicion.empty()) {
             suspicions.remove(fingerprint);
         }
+        return cleared;
     }
 
     /**
