Let one gateway of the fleet send a request that several servers ended under, one copy at a time

What callers and operators saw: a request that ends the servers which run it was sent on after three ends, 11 and 16 times in the users' record, and ended 28 and 32 servers.

Cause: a bound over the fleet was kept by proof alone, and until the proof each of 13 gateways sent its own copies "alone". Two ways to the same end, both in traces of the failing test: ends within a second of two unexplained others counted as one, or as none; and a gateway that reached no server of the service took its links for lost, proved nothing and told nobody, so that all copies that waited at all gateways went out when the first server came back (5 to 8 sends in 0.1 s to the same two servers).

Not tried: a caller with several addresses.

Change: from the second server that ended, or may have ended, under a request, one gateway, elected from the live ones by a hash of the request, sends it, one copy at a time, alone at a server; the others forward their copies to it (one hop) or refuse them as not run. A good answer clears the request everywhere, the end of that server blocks it, while many others end the end of a second one. What may be an end is told to others at once from the second on, and withdrawn by each gateway itself when the server shows life. A call that may have ended a server itself, as other copies may have, is not sent again; suspected calls that cannot be answered in time any more are refused at once.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
@@ -83,7 +83,7 @@
     }
 
     /** Forwards a call to another gateway, which gets the attempts that the call has left. */
-    private void forward(CallState call, ServerState peer, long now, DecisionSink sink) {
+    void forward(CallState call, ServerState peer, long now, DecisionSink sink) {
         int attemptsLeft = Math.max(1, call.terms().maximumAttempts() - call.sentAttemptCount());
         Decision.Basis basis = new Decision.Basis("forward", 0, peer.ownInFlight() + 1, 0, -1, peer.incarnation());
         AttemptState attempt = openCalls.startAttempt(call, peer, peer.ownInFlight() + 1, now);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -40,6 +40,9 @@
     /** The requests that are suspected or blocked because backend servers crashed while running them. */
     private final PoisonRequests poisonRequests;
 
+    /** Decides how suspected calls continue. */
+    private final SuspectedCalls suspectedCalls;
+
     /** Finds the backend servers that ended while they ran a request. */
     private final CrashDetector crashDetector;
 
@@ -54,6 +57,7 @@
             CallContinuation continuation,
             KeyedCalls keyedCalls,
             PoisonRequests poisonRequests,
+            SuspectedCalls suspectedCalls,
             CrashDetector crashDetector,
             RequestPermits permits) {
         this.services = services;
@@ -62,6 +66,7 @@
         this.continuation = continuation;
         this.keyedCalls = keyedCalls;
         this.poisonRequests = poisonRequests;
+        this.suspectedCalls = suspectedCalls;
         this.crashDetector = crashDetector;
         this.permits = permits;
     }
@@ -81,6 +86,10 @@
             withdraw(attempt, Reason.CONVICTED, now, sink);
             return;
         }
+        if (suspectedCalls.forbids(services.service(attempt.call().terms().service()), attempt, now)) {
+            withdraw(attempt, Reason.SUSPECTED, now, sink);
+            return;
+        }
         boolean late = attempt.call().terms().deadline() - now <= 0;
         boolean leaving = !attempt.forwarded()
                 && (attempt.server().leavingCause() != LeavingCause.NONE || isRemoved(attempt.server()));
@@ -94,6 +103,7 @@
             withdraw(attempt, Reason.LIMITED, now, sink);
             return;
         }
+        suspectedCalls.recordSending(attempt, now);
         attempt.recordSending(now);
         if (!attempt.forwarded()) {
             recordDispatch(attempt, now);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
@@ -13,12 +13,6 @@
 /** Decides how a call without an open attempt continues: with an attempt, in the queue or with its final answer. */
 final class CallContinuation {
 
-    /**
-     * The number of failed backend servers from which a suspected call of a host-name route runs alone. Connections
-     * break too often there for a single failure to count.
-     */
-    private static final int MINIMUM_FAILED_SERVERS_TO_ISOLATE = 2;
-
     /**
      * The factor by which the wait for a backend server with a request limit may be longer than expected, since other
      * hosts may take the next permits.
@@ -37,16 +31,21 @@
     /** The requests that are suspected or blocked because backend servers crashed while running them. */
     private final PoisonRequests poisonRequests;
 
+    /** Decides how suspected calls continue. */
+    private final SuspectedCalls suspectedCalls;
+
     /** Creates a continuation. */
     CallContinuation(
             ServiceRegistry services,
             FinalAnswers finalAnswers,
             AttemptLauncher launcher,
-            PoisonRequests poisonRequests) {
+            PoisonRequests poisonRequests,
+            SuspectedCalls suspectedCalls) {
         this.services = services;
         this.finalAnswers = finalAnswers;
         this.launcher = launcher;
         this.poisonRequests = poisonRequests;
+        this.suspectedCalls = suspectedCalls;
     }
 
     /** Starts the first attempt of a call, queues it, or abandons it. */
@@ -60,16 +59,13 @@
     }
 
     /**
-     * Starts an attempt of a call, queues it if it can still be answered before its deadline, or abandons it. A
-     * suspected call goes to the quarantine; a full queue drops a less urgent call to make room.
+     * Starts an attempt of a call, queues it if it can still be answered before its deadline, or abandons it. A full
+     * queue drops a less urgent call to make room.
      */
     void attemptOrQueue(ServiceState service, CallState call, long now, DecisionSink sink) {
         call.enterPhase(CallPhase.WAITING);
-        if (mustRunAlone(call, now)) {
-            if (!service.quarantine().offer(call)) {
-                finalAnswers.abandon(call, Reason.QUEUE_FULL, now, sink);
-            }
-            launcher.launchWaiting(service, now, sink);
+        if (suspectedCalls.mustRunAlone(call, now)) {
+            suspectedCalls.attemptOrQueue(service, call, now, sink);
             return;
         }
         boolean mayOvertake = service.waitingCalls().wouldBeFirst(call);
@@ -109,16 +105,6 @@
         return now + waitNanoseconds - call.terms().deadline() > 0 ? Reason.DEADLINE_UNREACHABLE : null;
     }
 
-    /**
-     * Returns whether a call is suspected of crashing backend servers and must run without other requests of this host.
-     */
-    private boolean mustRunAlone(CallState call, long now) {
-        long fingerprint = call.terms().fingerprint();
-        int minimumServers = call.terms().route().isEmpty() ? 1 : MINIMUM_FAILED_SERVERS_TO_ISOLATE;
-        return poisonRequests.suspected(fingerprint, now)
-                && poisonRequests.failedServerCount(fingerprint) >= minimumServers;
-    }
-
     /**
      * Retries a call without open attempts if the retry is safe and within the budget, and abandons it otherwise. Does
      * nothing while another attempt is open.
@@ -143,24 +129,15 @@
         return service != null && !blocked && RetryRule.INSTANCE.allows(call, service.retryBudget(), now);
     }
 
-    /** Abandons waiting calls whose request has become blocked since they began to wait. */
-    void abandonPoison(ServiceState service, long now, DecisionSink sink) {
-        CallState call = findPoison(service, now);
-        while (call != null) {
-            finalAnswers.abandon(call, Reason.CONVICTED, now, sink);
-            call = findPoison(service, now);
-        }
-    }
-
-    /** Returns a waiting call whose request is blocked, or {@code null} if there is none. */
-    private CallState findPoison(ServiceState service, long now) {
-        if (!poisonRequests.refusesAny(now)) {
-            return null;
+    /**
+     * Abandons waiting calls whose request has become blocked, and decides again about those whose request has become
+     * suspected or is no longer suspected.
+     */
+    void updateSuspected(ServiceState service, long now, DecisionSink sink) {
+        suspectedCalls.abandonBlocked(service, now, sink);
+        for (CallState call : suspectedCalls.removeMisplaced(service, now, sink)) {
+            attemptOrQueue(service, call, now, sink);
         }
-        Predicate<CallState> blocked =
-                call -> poisonRequests.refuses(call.terms().fingerprint(), now);
-        CallState suspected = service.quarantine().findFirst(blocked);
-        return suspected != null ? suspected : service.waitingCalls().findFirst(blocked);
     }
 
     /**
@@ -169,13 +146,20 @@
      */
     void abandonLate(ServiceState service, long now, DecisionSink sink) {
         service.waitingCalls().demote(call -> missesTarget(service, call, now));
-        CallState late = service.waitingCalls().findFirst(call -> missesDeadline(service, call, now));
+        CallState late = findLate(service, now);
         while (late != null) {
             finalAnswers.abandon(late, Reason.DEADLINE_UNREACHABLE, now, sink);
-            late = service.waitingCalls().findFirst(call -> missesDeadline(service, call, now));
+            late = findLate(service, now);
         }
     }
 
+    /** Returns a waiting call that can no longer be answered before its deadline, or {@code null} if there is none. */
+    private static CallState findLate(ServiceState service, long now) {
+        Predicate<CallState> late = call -> missesDeadline(service, call, now);
+        CallState suspected = service.quarantine().findFirst(late);
+        return suspected != null ? suspected : service.waitingCalls().findFirst(late);
+    }
+
     /** Returns the expected time until a call is sent while each backend server has a request limit. */
     private static long limitedWaitNanoseconds(
             ServiceState service, CallState call, int ahead, LimitedCapacity limited, long now) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -86,11 +86,21 @@
         RequestPermits permits = new RequestPermits(random);
         launcher = new AttemptLauncher(
                 openCalls, new ServerSelector(settings.policy(), random), poisonRequests, permits, forwardingPeers);
-        continuation = new CallContinuation(services, finalAnswers, launcher, poisonRequests);
+        SuspectedCalls suspectedCalls =
+                new SuspectedCalls(settings.name(), poisonRequests, forwardingPeers, launcher, finalAnswers);
+        continuation = new CallContinuation(services, finalAnswers, launcher, poisonRequests, suspectedCalls);
         keyedCalls = new KeyedCalls(openCalls, finalAnswers, ownership, continuation::start);
         crashDetector = new CrashDetector(services, poisonRequests);
         attemptOutcomes = new AttemptOutcomeHandler(
-                services, openCalls, finalAnswers, continuation, keyedCalls, poisonRequests, crashDetector, permits);
+                services,
+                openCalls,
+                finalAnswers,
+                continuation,
+                keyedCalls,
+                poisonRequests,
+                suspectedCalls,
+                crashDetector,
+                permits);
     }
 
     /**
@@ -190,7 +200,7 @@
      */
     public void useAvailableCapacity(long now, DecisionSink sink) {
         for (ServiceState service : services.all()) {
-            continuation.abandonPoison(service, now, sink);
+            continuation.updateSuspected(service, now, sink);
             continuation.abandonLate(service, now, sink);
             continuation.abandonBeyondLimits(service, now, sink);
             launcher.launchWaiting(service, now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -61,7 +61,7 @@
     /** Watches an attempt whose request is about to be written to a connection. */
     void watch(AttemptState attempt) {
         if (watched.size() >= MAXIMUM_WATCHED_ATTEMPTS) {
-            dismiss(watched.remove(0));
+            withdraw(watched.remove(0));
         }
         watched.add(new WatchedAttempt(attempt));
     }
@@ -74,7 +74,7 @@
                 candidate.recordEnd(now);
                 poisonRequests.suspect(
                         candidate.fingerprint(), candidate.server().processName(), now);
-                audit(CrashFinding.POSSIBLE, candidate, "its connection broke", sink);
+                audit(CrashFinding.POSSIBLE, candidate.crash(), "its connection broke", sink);
             }
         }
     }
@@ -90,6 +90,7 @@
 
     /** Records the crashes of backend servers that have become certain, and forgets the attempts that were not hit. */
     public void findCrashes(long now, DecisionSink sink) {
+        withdrawDisproved(now, sink);
         Iterator<WatchedAttempt> iterator = watched.iterator();
         while (iterator.hasNext()) {
             WatchedAttempt candidate = iterator.next();
@@ -98,13 +99,26 @@
                 recordCrash(candidate, now, sink);
             } else if (isUnharmed(candidate, now)) {
                 iterator.remove();
-                dismiss(candidate);
+                withdraw(candidate);
                 if (candidate.broken) {
-                    String cause = showedLife(candidate) ? "showed life" : "did not end";
-                    audit(CrashFinding.WITHDRAWN, candidate, cause, sink);
+                    audit(CrashFinding.WITHDRAWN, candidate.crash(), "its server did not end", sink);
                 }
             }
         }
+        poisonRequests.pollUrgentCrashes().forEach(services::recordCrash);
+    }
+
+    /** Withdraws possible crashes, of this host's requests and others', of backend servers that go on running. */
+    private void withdrawDisproved(long now, DecisionSink sink) {
+        for (Crash crash : poisonRequests.withdrawDisproved(this::showedLife, now)) {
+            audit(CrashFinding.WITHDRAWN, crash, "its server showed life, or nothing proved its end", sink);
+        }
+    }
+
+    /** Returns whether the backend server of a possible crash has shown since that it runs. */
+    private boolean showedLife(Crash crash) {
+        ServerState server = services.serverOfProcess(crash.server());
+        return server != null && server.condition().lastAliveAt() - crash.endedAt() - SIGN_DELAY_NANOSECONDS > 0;
     }
 
     /** Returns whether the backend server of an attempt has ended without answering it. */
@@ -164,17 +178,14 @@
         services.auditCrash(poisonRequests.recordCrash(crash, now), crash, terms, sink);
     }
 
-    /** Withdraws the suspicion that a broken connection raised. */
-    private void dismiss(WatchedAttempt candidate) {
-        if (candidate.broken) {
-            poisonRequests.dismiss(candidate.fingerprint(), candidate.server().processName());
-        }
+    /** Withdraws the suspicion that a broken connection raised, and ends the trial of a suspected request. */
+    private void withdraw(WatchedAttempt candidate) {
+        poisonRequests.withdraw(candidate.fingerprint(), candidate.server().processName());
     }
 
-    /** Audits a finding about an attempt, with what the backend server did. */
-    private void audit(CrashFinding finding, WatchedAttempt candidate, String cause, DecisionSink sink) {
-        services.auditSuspicion(
-                finding, candidate.fingerprint(), candidate.server().processName() + ": " + cause, sink);
+    /** Audits a finding about a possible crash. */
+    private void audit(CrashFinding finding, Crash crash, String cause, DecisionSink sink) {
+        services.auditSuspicion(finding, crash.fingerprint(), crash.server() + ": " + cause, sink);
     }
 
     /** An attempt that has been sent. */
@@ -208,6 +219,11 @@
             return attempt.server();
         }
 
+        /** Returns the possible crash. */
+        Crash crash() {
+            return new Crash(fingerprint(), server().processName(), endedAt, true);
+        }
+
         /** Returns the fingerprint of the request. */
         long fingerprint() {
             return attempt.call().terms().fingerprint();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
@@ -112,6 +112,7 @@
             ServiceState service = services.service(call.terms().service());
             if (service != null) {
                 service.waitingCalls().remove(call);
+                service.quarantine().remove(call);
             }
         }
         if (!call.terms().key().isEmpty()) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -307,6 +307,17 @@
         return servers.get(identity);
     }
 
+    /**
+     * Returns the backend server whose present process has a name.
+     *
+     * @param process the name, as {@link ServerState#processName} gives it
+     * @return the backend server, {@code null} if there is none
+     */
+    ServerState serverOfProcess(String process) {
+        ServerState server = servers.get(ServerState.identityOfProcess(process));
+        return server != null && server.processName().equals(process) ? server : null;
+    }
+
     /** Returns the service of the backend server with the given identity, or {@code null} if there is none. */
     public ServiceState serviceOf(String identity) {
         return serviceOfServer.get(identity);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -1,5 +1,8 @@
 package org.chivecourse.coordination.decision;
 
+import java.util.EnumSet;
+import java.util.Set;
+
 /** Why a gateway answers a request with an error that it generates, with the status code and text of that answer. */
 public enum Reason {
     /** The request is malformed or ambiguous, that is, could be parsed in two ways. */
@@ -32,6 +35,9 @@
     /** The request is blocked because it repeatedly coincided with crashes of backend servers. */
     CONVICTED(503, "the request keeps coinciding with crashes of backend servers"),
 
+    /** Backend servers ended under the request, and another copy of it is tried, or has no result yet. */
+    SUSPECTED(503, "backend servers ended under the request, and another copy of it is being tried"),
+
     /** A duplicate of the request was answered before. */
     ANSWERED_BEFORE(409, "a copy of the request was answered before"),
 
@@ -68,6 +74,9 @@
     /** The status code that implies that the request did not run, for all reasons but {@link #COPY_NOT_KNOWN}. */
     private static final int NOT_RUN_STATUS = 503;
 
+    /** The reasons for which a request that may have run ended with its connection. */
+    private static final Set<Reason> CONNECTION_REASONS = EnumSet.of(REFUSED, NO_CONNECTION, CONVICTED, SUSPECTED);
+
     /** The status code of the answer. */
     private final int status;
 
@@ -100,7 +109,7 @@
      */
     public Reason consistentWith(Outcome outcome) {
         if (outcome == Outcome.UNKNOWN && status == NOT_RUN_STATUS && this != COPY_NOT_KNOWN) {
-            return this == REFUSED || this == NO_CONNECTION ? CONNECTION_BROKEN : DEADLINE_PASSED;
+            return CONNECTION_REASONS.contains(this) ? CONNECTION_BROKEN : DEADLINE_PASSED;
         }
         return outcome == Outcome.NOT_RUN && this == DEADLINE_PASSED ? DEADLINE_UNREACHABLE : this;
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/ObservationOutbox.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/ObservationOutbox.java
@@ -19,7 +19,10 @@
     private static final int OBSERVATIONS_PER_LIMIT_REPORT = 2;
 
     /** The maximum number of crashes that are pending at the same time; further ones are dropped. */
-    private static final int MAXIMUM_PENDING_CRASHES = 8;
+    private static final int MAXIMUM_PENDING_CRASHES = 64;
+
+    /** The maximum number of crashes in a digest. */
+    private static final int MAXIMUM_CRASHES_PER_DIGEST = 8;
 
     /** The observations for the same data centre, merged to one of each kind for each backend server. */
     private final Map<String, Observation> local = new LinkedHashMap<>();
@@ -150,13 +153,14 @@
     }
 
     /**
-     * Removes and returns the pending crashes.
+     * Removes and returns pending crashes in the order in which they were added.
      *
-     * @return the crashes
+     * @return at most {@link #MAXIMUM_CRASHES_PER_DIGEST} crashes
      */
     List<Crash> pollCrashes() {
-        List<Crash> polled = List.copyOf(crashes);
-        crashes.clear();
+        List<Crash> pending = crashes.subList(0, Math.min(MAXIMUM_CRASHES_PER_DIGEST, crashes.size()));
+        List<Crash> polled = List.copyOf(pending);
+        pending.clear();
         return polled;
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/forward/ForwardingPeers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/forward/ForwardingPeers.java
@@ -10,6 +10,7 @@
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.model.ServerMode;
 import org.chivecourse.coordination.fleet.FleetPeer;
+import org.chivecourse.coordination.fleet.RendezvousHash;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.state.call.CallState;
 import org.chivecourse.state.server.ServerState;
@@ -29,7 +30,10 @@
     /** The settings of this host. */
     private final HostSettings settings;
 
-    /** The gateways by name. */
+    /** The names of the live gateways, whether they take calls or not. */
+    private Set<String> liveNames = Set.of();
+
+    /** The gateways that take calls, by name. */
     private final Map<String, ServerState> peersByName = new TreeMap<>();
 
     /**
@@ -49,8 +53,10 @@
      */
     public boolean update(Collection<FleetPeer> live, long now) {
         Set<String> names = new HashSet<>();
+        liveNames = new HashSet<>();
         boolean changed = false;
         for (FleetPeer peer : live) {
+            liveNames.add(peer.member().name());
             String address = peer.latestDigest().forwardingAddress();
             if (address.isEmpty()) {
                 continue;
@@ -98,6 +104,26 @@
         return best;
     }
 
+    /**
+     * Elects the live gateway that alone sends a suspected request. Gateways that know the same live ones agree.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @return its name, which may be that of this gateway
+     */
+    public String electSender(long fingerprint) {
+        String key = Long.toHexString(fingerprint);
+        String elected = settings.name();
+        for (String name : liveNames) {
+            elected = RendezvousHash.ranksAbove(name, elected, key) ? name : elected;
+        }
+        return elected;
+    }
+
+    /** Returns the gateway with a name, {@code null} if it takes no calls. */
+    public ServerState peer(String name) {
+        return peersByName.get(name);
+    }
+
     /** Returns whether a gateway is nearer than another one, or as near with fewer calls of this gateway. */
     private static boolean isBetter(ServerState peer, ServerState other) {
         return peer.local() == other.local() ? peer.ownInFlight() < other.ownInFlight() : peer.local();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.chivecourse.state.fleet.AnsweredRequest;
 import org.chivecourse.state.fleet.Crash;
 
@@ -26,12 +29,18 @@
     /** The time for which a request is blocked. */
     public static final long BLOCK_NANOSECONDS = 600_000_000_000L;
 
+    /** The number of servers that have to end under the only copy of a request while many other servers end. */
+    private static final int FAILED_TRIALS_TO_BLOCK = 2;
+
     /** The maximum number of requests that are remembered. Bounds the memory used. */
     private static final int MAXIMUM_REQUESTS = 10_000;
 
     /** The number of ended servers from which a request is not forgotten while there are others to forget. */
     private static final int SERVERS_TO_RETAIN = 2;
 
+    /** The time after which a possible crash that is not confirmed is withdrawn. */
+    private static final long MAXIMUM_DOUBT_NANOSECONDS = 10_000_000_000L;
+
     /** The time for which a new crash or answer is repeated to other hosts, so that lost messages do not matter. */
     private static final long REPETITION_NANOSECONDS = 3_000_000_000L;
 
@@ -41,6 +50,12 @@
     /** The ends of backend servers that coincided with requests. */
     private final ServerEnds serverEnds = new ServerEnds();
 
+    /** The fingerprints of the requests that have possible crashes. */
+    private final Set<Long> doubtful = new LinkedHashSet<>();
+
+    /** The possible crashes of this host that others have to be told of at once. */
+    private final List<Crash> urgentCrashes = new ArrayList<>();
+
     /** The time until which a request may be refused, in nanoseconds. */
     private long refusalsPossibleUntil = Long.MIN_VALUE / 2;
 
@@ -54,34 +69,109 @@
     private final RotatingSelection sharedBlocks = new RotatingSelection();
 
     /**
-     * Records that a backend server broke the connection of a request before its answer, and may have ended. {@link
-     * #recordCrash} or {@link #dismiss} has to follow.
+     * Records that this host's connection for a request broke before its answer, so that the backend server may have
+     * ended. {@link #recordCrash} or {@link #withdraw} has to follow.
      *
      * @param server the process of the backend server
      */
     public void suspect(long fingerprint, String server, long now) {
-        Suspicion suspicion = suspicionOf(fingerprint, now);
-        suspicion.lastChangedAt = now;
-        suspicion.unconfirmed.put(server, now);
+        Crash crash = new Crash(fingerprint, server, now, true);
+        if (recordCrash(crash, now) == CrashFinding.POSSIBLE) {
+            suspicions.get(fingerprint).unannounced.add(crash);
+            announceRepeated(suspicions.get(fingerprint));
+        }
     }
 
-    /** Withdraws {@link #suspect}, since the backend server goes on running. */
-    public void dismiss(long fingerprint, String server) {
+    /** Withdraws {@link #suspect} and ends the request's trial there, since the server goes on running. */
+    public void withdraw(long fingerprint, String server) {
         Suspicion suspicion = suspicions.get(fingerprint);
         if (suspicion == null) {
             return;
         }
-        suspicion.unconfirmed.remove(server);
+        suspicion.withdraw(server);
+        suspicion.trialServer = server.equals(suspicion.trialServer) ? null : suspicion.trialServer;
         if (suspicion.empty()) {
             suspicions.remove(fingerprint);
         }
     }
 
-    /** Records that a backend server ended while a request was running there, and returns what that means. */
+    /** Lets others be told at once of the possible crashes of a request that is suspected repeatedly. */
+    private void announceRepeated(Suspicion suspicion) {
+        if (suspicion.coincidences() >= SERVERS_TO_RETAIN) {
+            urgentCrashes.addAll(suspicion.unannounced);
+            suspicion.unannounced.clear();
+        }
+    }
+
+    /**
+     * Removes and returns the possible crashes of this host that others have to be told of at once, since the request
+     * is suspected repeatedly.
+     */
+    public List<Crash> pollUrgentCrashes() {
+        if (urgentCrashes.isEmpty()) {
+            return List.of();
+        }
+        List<Crash> urgent = List.copyOf(urgentCrashes);
+        urgentCrashes.clear();
+        return urgent;
+    }
+
+    /**
+     * Withdraws the possible crashes that are disproved or as old as a watched attempt may get.
+     *
+     * @param disproved returns whether the backend server of a possible crash goes on running
+     * @return the withdrawn crashes
+     */
+    public List<Crash> withdrawDisproved(Predicate<Crash> disproved, long now) {
+        if (doubtful.isEmpty()) {
+            return List.of();
+        }
+        List<Crash> withdrawn = new ArrayList<>();
+        for (long fingerprint : doubtful) {
+            possibleCrashes(fingerprint).stream()
+                    .filter(crash -> now - crash.endedAt() >= MAXIMUM_DOUBT_NANOSECONDS || disproved.test(crash))
+                    .forEach(withdrawn::add);
+        }
+        withdrawn.forEach(crash -> withdraw(crash.fingerprint(), crash.server()));
+        doubtful.removeIf(fingerprint -> possibleCrashes(fingerprint).isEmpty());
+        return withdrawn;
+    }
+
+    /** Returns the possible crashes of a request. */
+    private List<Crash> possibleCrashes(long fingerprint) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        return suspicion == null
+                ? List.of()
+                : suspicion.unconfirmed.values().stream()
+                        .map(Suspicion.KnownCrash::crash)
+                        .toList();
+    }
+
+    /**
+     * Records that the only copy of a suspected request is about to be sent; see {@link #mayBeginTrial}.
+     *
+     * @param server the process of the backend server
+     */
+    public void beginTrial(long fingerprint, String server, long now) {
+        Suspicion suspicion = suspicionOf(fingerprint, now);
+        suspicion.trialServer = server;
+        suspicion.trialStartedAt = now;
+    }
+
+    /** Returns whether a copy of a suspected request may be sent, since no other runs or has run without a result. */
+    public boolean mayBeginTrial(long fingerprint) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        return suspicion == null || suspicion.trialServer == null;
+    }
+
+    /**
+     * Records that a backend server ended, or may have ended, while a request was running there, and returns what that
+     * means.
+     */
     public CrashFinding recordCrash(Crash crash, long now) {
         Suspicion suspicion = suspicionOf(crash.fingerprint(), now);
-        suspicion.unconfirmed.remove(crash.server());
         if (suspicion.blockedUntil != 0) {
+            suspicion.withdraw(crash.server());
             return CrashFinding.BLOCKED_BEFORE;
         }
         if (suspicion.answered && crash.endedAt() - suspicion.answeredAt <= 0) {
@@ -90,27 +180,71 @@
         if (suspicion.crashes.containsKey(crash.server())) {
             return CrashFinding.KNOWN;
         }
+        return crash.possible() ? recordPossible(suspicion, crash, now) : recordCertain(suspicion, crash, now);
+    }
+
+    /** Records the possible crash of a server that is not known to have ended. */
+    private CrashFinding recordPossible(Suspicion suspicion, Crash crash, long now) {
+        if (suspicion.unconfirmed.putIfAbsent(crash.server(), new Suspicion.KnownCrash(crash, now)) != null) {
+            return CrashFinding.KNOWN;
+        }
+        doubtful.add(crash.fingerprint());
+        suspicion.lastChangedAt = now;
+        noteRepetition(suspicion, now);
+        announceRepeated(suspicion);
+        return CrashFinding.POSSIBLE;
+    }
+
+    /** Records the end of a server. */
+    private CrashFinding recordCertain(Suspicion suspicion, Crash crash, long now) {
         int countedBefore = countedServers(crash.fingerprint(), suspicion);
+        suspicion.withdraw(crash.server());
         suspicion.lastChangedAt = crash.endedAt();
         suspicion.crashes.put(crash.server(), new Suspicion.KnownCrash(crash, now));
         serverEnds.record(crash);
-        if (suspicion.crashes.size() >= SERVERS_TO_BLOCK - 1) {
-            refusalsPossibleUntil = Math.max(refusalsPossibleUntil, crash.endedAt() + BLOCK_NANOSECONDS);
-        }
+        noteRepetition(suspicion, now);
+        announceRepeated(suspicion);
         int counted = countedServers(crash.fingerprint(), suspicion);
-        if (counted >= SERVERS_TO_BLOCK) {
+        boolean proved = proves(suspicion, crash);
+        if (counted >= SERVERS_TO_BLOCK || proved && suspicion.crashes.size() >= SERVERS_TO_BLOCK) {
             suspicion.blockedUntil = crash.endedAt() + BLOCK_NANOSECONDS;
+            suspicion.withdrawAll();
             return CrashFinding.BLOCKED;
         }
         return counted > countedBefore ? CrashFinding.COUNTED : CrashFinding.EXCUSED;
     }
 
+    /**
+     * Records the end of a server that ran the only copy of a request, and returns whether it proves that the request
+     * ends servers. While many other servers end it takes a second one, since the first may be a coincidence.
+     */
+    private boolean proves(Suspicion suspicion, Crash crash) {
+        if (!crash.server().equals(suspicion.trialServer)) {
+            return false;
+        }
+        suspicion.trialServer = null;
+        suspicion.failedTrials++;
+        return suspicion.failedTrials >= FAILED_TRIALS_TO_BLOCK
+                || !serverEnds.isMassEnd(crash.endedAt(), end -> isNoOtherCause(end, suspicion, crash.fingerprint()));
+    }
+
+    /** Notes that a request may be refused from now on once it is suspected repeatedly. */
+    private void noteRepetition(Suspicion suspicion, long now) {
+        if (suspicion.coincidences() >= SERVERS_TO_RETAIN) {
+            refusalsPossibleUntil = Math.max(refusalsPossibleUntil, now + BLOCK_NANOSECONDS);
+        }
+    }
+
     /** Returns the number of ended servers that count against a request. */
     private int countedServers(long fingerprint, Suspicion suspicion) {
         List<Long> endedAt = new ArrayList<>();
         suspicion.crashes.values().forEach(known -> endedAt.add(known.crash().endedAt()));
-        return serverEnds.countEvents(
-                endedAt, end -> suspicion.crashes.containsKey(end.server()) || explained(end, fingerprint));
+        return serverEnds.countEvents(endedAt, end -> isNoOtherCause(end, suspicion, fingerprint));
+    }
+
+    /** Returns whether a server ended due to this request or to another one that several servers ended under. */
+    private boolean isNoOtherCause(ServerEnds.End end, Suspicion suspicion, long fingerprint) {
+        return suspicion.crashes.containsKey(end.server()) || explained(end, fingerprint);
     }
 
     /** Returns whether another request that several servers ended under explains the end of a server. */
@@ -135,10 +269,8 @@
         if (suspicion == null || suspicion.blockedUntil != 0) {
             return false;
         }
-        suspicion.unconfirmed.clear();
         boolean known = suspicion.answered && answeredAt - suspicion.answeredAt <= 0;
-        boolean cleared =
-                suspicion.crashes.values().removeIf(crash -> crash.crash().endedAt() - answeredAt <= 0);
+        boolean cleared = suspicion.clearUntil(answeredAt);
         if (!known && cleared) {
             suspicion.recordAnswer(answeredAt, now);
         }
@@ -236,8 +368,8 @@
     public List<Crash> crashesToShare(int maximum, long now) {
         List<Crash> all = new ArrayList<>();
         for (Suspicion suspicion : suspicions.values()) {
-            boolean repeated = suspicion.crashes.size() >= SERVERS_TO_RETAIN;
-            for (Suspicion.KnownCrash known : suspicion.crashes.values()) {
+            boolean repeated = suspicion.coincidences() >= SERVERS_TO_RETAIN;
+            for (Suspicion.KnownCrash known : suspicion.known()) {
                 boolean fresh = now - known.learntAt() < REPETITION_NANOSECONDS;
                 boolean expired = now - known.crash().endedAt() >= Suspicion.LIFETIME_NANOSECONDS;
                 if (!suspicion.blocked(now) && !expired && (repeated || fresh)) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
@@ -39,7 +39,7 @@
     /**
      * Removes and returns the next suspected call if its reserved backend server has no other request of this host.
      * Otherwise reserves one and returns {@code null}. The reserved backend server is available from {@link
-     * #reserved()}.
+     * #reserved()}. Calls whose request another copy tries are passed over.
      */
     public CallState pollReady(List<ServerState> servers, PoisonRequests poisonRequests, long now) {
         if (running != null && running.ended()) {
@@ -47,17 +47,30 @@
             reserved = null;
         }
         waiting.removeIf(call -> call.phase() == CallPhase.FINISHED);
-        if (waiting.isEmpty() || running != null) {
+        CallState next =
+                findFirst(call -> poisonRequests.mayBeginTrial(call.terms().fingerprint()));
+        if (next == null || running != null) {
             reserved = running == null ? null : reserved;
             return null;
         }
         if (reserved == null || !usable(reserved, now)) {
-            reserved = leastBusy(servers, waiting.peekFirst(), poisonRequests, now);
+            reserved = leastBusy(servers, next, poisonRequests, now);
         }
         if (reserved == null || reserved.ownInFlight() > 0) {
             return null;
         }
-        return waiting.removeFirst();
+        waiting.remove(next);
+        return next;
+    }
+
+    /** Returns the suspected calls that wait, in the order of their arrival. */
+    public List<CallState> waiting() {
+        return List.copyOf(waiting);
+    }
+
+    /** Removes a call if it waits. */
+    public void remove(CallState call) {
+        waiting.remove(call);
     }
 
     /** Records that a suspected call runs at the reserved backend server. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/ServerEnds.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/ServerEnds.java
@@ -52,13 +52,23 @@
             boolean sameEvent = counted > 0 && at - eventStart < EVENT_NANOSECONDS;
             if (!sameEvent) {
                 eventStart = at;
-                mass = countAround(eventStart, excluded) >= MASS_END_SERVERS;
+                mass = isMassEnd(eventStart, excluded);
             }
             counted += sameEvent && mass ? 0 : 1;
         }
         return counted;
     }
 
+    /**
+     * Returns whether so many backend servers ended around a time that an end may have another cause than a request.
+     *
+     * @param time the time in nanoseconds
+     * @param excluded returns whether an end is no sign of another cause
+     */
+    boolean isMassEnd(long time, Predicate<End> excluded) {
+        return countAround(time, excluded) >= MASS_END_SERVERS;
+    }
+
     /** Returns the number of backend servers that ended around a time and are not excluded. */
     private int countAround(long time, Predicate<End> excluded) {
         int count = 0;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Suspicion.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Suspicion.java
@@ -1,6 +1,8 @@
 package org.chivecourse.coordination.poison;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.chivecourse.state.fleet.Crash;
 
@@ -13,8 +15,20 @@
     /** The crashes by process of the backend server. */
     final Map<String, KnownCrash> crashes = new LinkedHashMap<>();
 
-    /** The times of broken connections by process of the backend server, which may have ended. */
-    final Map<String, Long> unconfirmed = new LinkedHashMap<>();
+    /** The possible crashes by process of the backend server, which may go on running. */
+    final Map<String, KnownCrash> unconfirmed = new LinkedHashMap<>();
+
+    /** The possible crashes of this host that no other host has been told of immediately. */
+    final List<Crash> unannounced = new ArrayList<>();
+
+    /** The process of the backend server where the only copy runs, or ran without a result; {@code null} for none. */
+    String trialServer;
+
+    /** The time at which that copy was sent, in nanoseconds. */
+    long trialStartedAt;
+
+    /** The number of backend servers that ended while they ran the only copy, since the request was last answered. */
+    int failedTrials;
 
     /** Whether an answer cleared earlier crashes. */
     boolean answered;
@@ -39,6 +53,42 @@
         lastChangedAt = now;
     }
 
+    /** Removes the possible crash of a backend server. */
+    void withdraw(String server) {
+        unconfirmed.remove(server);
+        unannounced.removeIf(crash -> crash.server().equals(server));
+    }
+
+    /** Removes all possible crashes. */
+    void withdrawAll() {
+        unconfirmed.clear();
+        unannounced.clear();
+    }
+
+    /**
+     * Clears the crashes and the trial that are not later than an answer.
+     *
+     * @param at the time of the answer in nanoseconds
+     * @return {@code true} if there was a crash to clear
+     */
+    boolean clearUntil(long at) {
+        unannounced.removeIf(crash -> crash.endedAt() - at <= 0);
+        boolean possibleCleared =
+                unconfirmed.values().removeIf(known -> known.crash().endedAt() - at <= 0);
+        boolean certainCleared =
+                crashes.values().removeIf(known -> known.crash().endedAt() - at <= 0);
+        trialServer = trialStartedAt - at <= 0 ? null : trialServer;
+        failedTrials = 0;
+        return possibleCleared || certainCleared;
+    }
+
+    /** Returns the crashes and then the possible ones. */
+    List<KnownCrash> known() {
+        List<KnownCrash> all = new ArrayList<>(crashes.values());
+        all.addAll(unconfirmed.values());
+        return all;
+    }
+
     /** Returns the number of backend servers that ended or may have ended. */
     int coincidences() {
         return crashes.size() + unconfirmed.size();
@@ -46,7 +96,7 @@
 
     /** Returns whether nothing has to be remembered. */
     boolean empty() {
-        return coincidences() == 0 && !answered && blockedUntil == 0;
+        return coincidences() == 0 && !answered && blockedUntil == 0 && trialServer == null;
     }
 
     /** Returns whether the request is blocked now. */
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -82,10 +82,15 @@
             message.addSightings(encode(observation, now));
         }
         for (Crash crash : digest.crashes()) {
-            message.addCrashes(CrashMessage.newBuilder()
+            CrashMessage.Builder encoded = CrashMessage.newBuilder()
                     .setFingerprint(crash.fingerprint())
                     .setServer(crash.server())
-                    .setAgeMilliseconds(ageMilliseconds(crash.endedAt(), now)));
+                    .setAgeMilliseconds(ageMilliseconds(crash.endedAt(), now));
+            if (crash.possible()) {
+                message.addPossibleCrashes(encoded);
+            } else {
+                message.addCrashes(encoded);
+            }
         }
         for (AnsweredRequest answered : digest.answeredRequests()) {
             message.addAnsweredRequests(AnsweredRequestMessage.newBuilder()
@@ -238,8 +243,10 @@
         }
         List<Crash> crashes = new ArrayList<>();
         for (CrashMessage crash : message.getCrashesList()) {
-            long endedAt = timeOf(crash.getAgeMilliseconds(), now);
-            crashes.add(new Crash(crash.getFingerprint(), checkText(crash.getServer()), endedAt));
+            crashes.add(decode(crash, false, now));
+        }
+        for (CrashMessage crash : message.getPossibleCrashesList()) {
+            crashes.add(decode(crash, true, now));
         }
         List<AnsweredRequest> answeredRequests = new ArrayList<>();
         for (AnsweredRequestMessage answered : message.getAnsweredRequestsList()) {
@@ -276,6 +283,20 @@
                 decodeForwardingAddress(message));
     }
 
+    /**
+     * Decodes a crash.
+     *
+     * @param message the message
+     * @param possible whether the backend server may go on running
+     * @param now the current time in nanoseconds
+     * @return the crash, with its time converted to the clock of this host
+     * @throws PeerMessageException if the name of the backend server or the age is invalid
+     */
+    private static Crash decode(CrashMessage message, boolean possible, long now) throws PeerMessageException {
+        long endedAt = timeOf(message.getAgeMilliseconds(), now);
+        return new Crash(message.getFingerprint(), checkText(message.getServer()), endedAt, possible);
+    }
+
     /**
      * Returns the address at which the sender of a digest takes calls.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -6,6 +6,9 @@
 /** The state that a host keeps for a backend server. Times are in nanoseconds of the host's monotonic clock. */
 public final class ServerState {
 
+    /** Separates the identity from the incarnation in the name of a process. */
+    private static final char INCARNATION_SEPARATOR = '/';
+
     /** The time after which a backend server counts as warm at the latest, in nanoseconds. */
     private static final long WARM_UP_NANOSECONDS = 60_000_000_000L;
 
@@ -314,7 +317,13 @@
 
     /** Returns the name of its process, which differs after a restart if the backend server announces itself. */
     public String processName() {
-        return incarnation == 0 ? identity() : identity() + '/' + incarnation;
+        return incarnation == 0 ? identity() : identity() + INCARNATION_SEPARATOR + incarnation;
+    }
+
+    /** Returns the identity of the backend server whose process has a name. */
+    public static String identityOfProcess(String process) {
+        int separator = process.lastIndexOf(INCARNATION_SEPARATOR);
+        return separator < 0 ? process : process.substring(0, separator);
     }
 
     /** Returns the address. */
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -315,6 +315,10 @@
         return count;
     }
 
+    boolean isRunning(String host) {
+        return cores.containsKey(host);
+    }
+
     HostCore core(int number) {
         return cores.get(name(number));
     }
