Take links for lost only if a backend server that fails here answers other gateways

A server counts as answering others only if it has failed here and has answered them since; one that is down never does.

A request that is unanswered when its server is first found out of reach may have ended it, as one whose connection broke may; both are recorded alike and withdrawn alike.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -72,13 +72,20 @@
             if (candidate.attempt == attempt && !attempt.answered()) {
                 candidate.broken = true;
                 candidate.recordEnd(now);
-                poisonRequests.suspect(
-                        candidate.fingerprint(), candidate.server().processName(), now);
-                audit(CrashFinding.POSSIBLE, candidate.crash(), "its connection broke", sink);
+                suspect(candidate, "its connection broke", now, sink);
             }
         }
     }
 
+    /** Records that the backend server of an attempt may have ended, unless that is recorded. */
+    private void suspect(WatchedAttempt candidate, String cause, long now, DecisionSink sink) {
+        if (!candidate.suspected) {
+            candidate.suspected = true;
+            poisonRequests.suspect(candidate.fingerprint(), candidate.server().processName(), now);
+            audit(CrashFinding.POSSIBLE, candidate.crash(), cause, sink);
+        }
+    }
+
     /** Records which attempts the current event has ended. */
     public void recordEnds(long now) {
         for (WatchedAttempt candidate : watched) {
@@ -100,9 +107,11 @@
             } else if (isUnharmed(candidate, now)) {
                 iterator.remove();
                 withdraw(candidate);
-                if (candidate.broken) {
+                if (candidate.suspected) {
                     audit(CrashFinding.WITHDRAWN, candidate.crash(), "its server did not end", sink);
                 }
+            } else if (isSilentSinceSent(candidate)) {
+                suspect(candidate, "it is out of reach", now, sink);
             }
         }
         poisonRequests.pollUrgentCrashes().forEach(services::recordCrash);
@@ -127,14 +136,19 @@
             return false;
         }
         ServerCondition condition = candidate.server().condition();
-        boolean silentSinceSent = condition.isSilent() && condition.silentSince() - candidate.attempt.sentAt() > 0;
-        boolean silentForLong = silentSinceSent && condition.silenceNanoseconds() >= SILENCE_NANOSECONDS;
+        boolean silentForLong = isSilentSinceSent(candidate) && condition.silenceNanoseconds() >= SILENCE_NANOSECONDS;
         if (silentForLong && services.links().workedSinceSilence(candidate.server())) {
             return true;
         }
         return candidate.ended && (isGone(candidate.server()) || isSilentConfigured(candidate, now));
     }
 
+    /** Returns whether the backend server of an attempt has been out of reach since the attempt was sent. */
+    private static boolean isSilentSinceSent(WatchedAttempt candidate) {
+        ServerCondition condition = candidate.server().condition();
+        return condition.isSilent() && condition.silentSince() - candidate.attempt.sentAt() > 0;
+    }
+
     /**
      * Returns whether a backend server was removed or replaced although it had not said that it leaves. One that leaves
      * in good order is no longer known either.
@@ -197,6 +211,9 @@
         /** Whether its connection broke. */
         private boolean broken;
 
+        /** Whether it is recorded that its backend server may have ended. */
+        private boolean suspected;
+
         /** Whether it has ended. */
         private boolean ended;
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/health/LinkMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/health/LinkMonitor.java
@@ -8,8 +8,8 @@
  * Finds out whether this host's own links to the backend servers of a service are lost, as opposed to backend servers
  * that are down.
  *
- * <p>They are lost if several backend servers have failed since any of them last answered this host, while other hosts
- * go on getting answers.
+ * <p>They are lost if several backend servers have failed since any of them last answered this host, while one of these
+ * goes on answering other hosts.
  */
 public final class LinkMonitor {
 
@@ -54,11 +54,12 @@
                 continue;
             }
             inService++;
-            if (hasFailedSince(server, lastAnswerAt, now)) {
+            boolean silent = isSilent(server, now);
+            if (silent || server.contact().failedAt() - lastAnswerAt > 0) {
                 failed++;
+                othersAnswered |= server.contact().answeredOthersAt() - failingSince(server, silent, now) > 0;
             }
             contradicted |= isContradicted(server, now);
-            othersAnswered |= server.contact().answeredOthersAt() - lastAnswerAt > 0;
         }
         doubtful = failed > 0 && othersAnswered;
         boolean before = lost;
@@ -72,11 +73,15 @@
         return now - failedAt < CONTRADICTION_NANOSECONDS && server.contact().answeredOthersAt() - failedAt > 0;
     }
 
-    /** Returns whether this host has failed to reach a backend server since any of them last answered. */
-    private static boolean hasFailedSince(ServerState server, long lastAnswerAt, long now) {
-        boolean silent = now - lastAnswerAt >= SILENT_REQUEST_NANOSECONDS
+    /** Returns whether a request to a backend server is old, and none of the servers has answered for as long. */
+    private boolean isSilent(ServerState server, long now) {
+        return now - lastAnswerAt >= SILENT_REQUEST_NANOSECONDS
                 && server.oldestRequestAge(now) >= SILENT_REQUEST_NANOSECONDS;
-        return silent || server.contact().failedAt() - lastAnswerAt > 0;
+    }
+
+    /** Returns the time from which this host has failed to reach a backend server. */
+    private static long failingSince(ServerState server, boolean silent, long now) {
+        return silent ? now - server.oldestRequestAge(now) : server.contact().failingSince();
     }
 
     /** Returns whether the links may be lost: a backend server has failed, and others get answers in the meantime. */
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerContact.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerContact.java
@@ -16,6 +16,9 @@
     /** The time at which this host last failed to reach the backend server. */
     private long failedAt = NEVER;
 
+    /** The time at which this host first failed to reach it since the last answer. */
+    private long failingSince = NEVER;
+
     /** Whether other hosts have not been told of the last failure. */
     private boolean unreportedFailure;
 
@@ -38,6 +41,7 @@
      * @param now the current time
      */
     public void recordFailure(long now) {
+        failingSince = failedAt - answeredAt > 0 ? failingSince : now;
         failedAt = now;
         unreportedFailure = true;
     }
@@ -71,6 +75,11 @@
         return failedAt;
     }
 
+    /** Returns the time at which this host first failed to reach it since the last answer, as {@link #failedAt} does. */
+    public long failingSince() {
+        return failingSince;
+    }
+
     /** Returns the time of the last answer to another host, a time in the distant past if there was none. */
     public long answeredOthersAt() {
         return answeredOthersAt;
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
@@ -104,6 +104,9 @@
     /** The number of ordinary requests that were refused as crashing ones. */
     int ordinaryBlocked;
 
+    /** The number of times that a gateway took its own links to backend servers for lost, which none is. */
+    int linksTakenForLost;
+
     /** How the end of a backend server shows on its connections. */
     enum ServerEnd {
         /** Open connections are reset and new ones refused. */
@@ -250,6 +253,10 @@
             forwarding.deliver(new HostNumber(host, deliver.call()), 200);
         } else if (decision instanceof Decision.Probe probe) {
             probe(host, probe);
+        } else if (decision instanceof Decision.Audit audit) {
+            boolean lost = audit.change().subject() == Decision.Subject.LINKS
+                    && audit.change().to().equals("lost");
+            linksTakenForLost += lost ? 1 : 0;
         } else if (decision instanceof Decision.Refuse refuse) {
             refuse(new HostNumber(host, refuse.call()), refuse.refusal());
         }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestWavesTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestWavesTest.java
@@ -1,5 +1,8 @@
 package org.chivecourse.coordination.fleet;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
 import java.util.function.Consumer;
 import org.chivecourse.coordination.fleet.CrashingRequestSimulation.ServerEnd;
 import org.junit.jupiter.api.Test;
@@ -26,16 +29,21 @@
 
     private static void assertRecognized(int servers, Consumer<CrashingRequestScene> change) {
         for (long seed = 1; seed <= SEEDS; seed++) {
-            CrashingRequestScene scene = new CrashingRequestScene(HOSTS, servers, seed);
-            scene.simulation.copies = 6;
-            scene.simulation.repeatMilliseconds = 1600;
-            scene.simulation.runMilliseconds = 90;
-            scene.simulation.replacementMilliseconds = 3000;
+            CrashingRequestScene scene = waves(servers, seed);
             change.accept(scene);
             scene.assertRecognized(MILLISECONDS);
         }
     }
 
+    private static CrashingRequestScene waves(int servers, long seed) {
+        CrashingRequestScene scene = new CrashingRequestScene(HOSTS, servers, seed);
+        scene.simulation.copies = 6;
+        scene.simulation.repeatMilliseconds = 1600;
+        scene.simulation.runMilliseconds = 90;
+        scene.simulation.replacementMilliseconds = 3000;
+        return scene;
+    }
+
     @Test
     void recognizesFrequentWavesWhileOtherServersEnd() {
         assertRecognized(scene -> {
@@ -98,4 +106,14 @@
     void recognizesWavesWhileDigestsAreLost() {
         assertRecognized(scene -> scene.simulation.network().setDigestLoss(0.3));
     }
+
+    /** Gateways that took their links for lost proved no end of a server and told nobody. */
+    @Test
+    void takesNoLinksForLostWhenServersEnd() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            CrashingRequestScene scene = waves(SERVERS, seed);
+            scene.simulation.run(scene.crashingRequests, scene.idempotent, MILLISECONDS, scene.disruption);
+            assertThat("seed " + seed, scene.simulation.linksTakenForLost, equalTo(0));
+        }
+    }
 }
