--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerContact.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerContact.java
@@ -75,7 +75,7 @@
         return failedAt;
     }
 
-    /** Returns the time at which this host first failed to reach it since the last answer, as {@link #failedAt} does. */
+    /** Returns the time at which this host first failed to reach it since its last answer. */
     public long failingSince() {
         return failingSince;
     }
