Send nothing more to a backend server that said in an answer that it leaves

Hypothesis 3 does not hold: the last step before the first byte checks.

What a process said of itself holds until a new process starts: no announcement, probe or later answer revokes it, and it is remembered while the announcement is gone. Other gateways are told, and apply it only to a process that they knew before it was said. The last server that says so still gets nothing: its callers are refused at once.

LeavingServerTest: three of nine failed before with a simulated dialect that reads the field, none now. The other tests of the core that concern leaving pass unchanged.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -327,7 +327,7 @@
         services.limits().record(server, statedLimit(answer), now, "answer with status " + answer.status(), now, sink);
         if (answer.leaving()) {
             LeavingCause cause = answer.refused() ? LeavingCause.REFUSAL : LeavingCause.HEADER;
-            services.markLeaving(server.identity(), cause, revision, sink);
+            services.recordLeaving(server, cause, now, sink);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -59,6 +59,9 @@
     /** The backend servers by identity. */
     private final Map<String, ServerState> servers = new LinkedHashMap<>();
 
+    /** What backend servers made known whose announcement is gone. */
+    private final DepartedServers departedServers = new DepartedServers();
+
     /** The services by the identity of their backend servers. */
     private final Map<String, ServiceState> serviceOfServer = new HashMap<>();
 
@@ -109,6 +112,7 @@
             next.put(service.name(), state);
         }
         services = next;
+        List<ServerState> before = List.copyOf(servers.values());
         servers.clear();
         serviceOfServer.clear();
         for (ServiceState state : next.values()) {
@@ -117,6 +121,7 @@
                 serviceOfServer.put(server.identity(), state);
             }
         }
+        departedServers.update(before, servers);
     }
 
     /** Changes the number of hosts that may run gateways. */
@@ -158,8 +163,26 @@
                 // Ignored: the other host may know an older announcement of the same name, so only this host's requests
                 // can show that a backend server was replaced.
             }
-            default -> markLeaving(observation.server(), LeavingCause.PEER, configuration.revision(), sink);
+            default -> applyLeaving(server, observation, sink);
+        }
+    }
+
+    /** Applies that a backend server told another host that it leaves, unless an earlier process of it did. */
+    private void applyLeaving(ServerState server, Observation observation, DecisionSink sink) {
+        if (observation.observedAt() - server.discoveredAt() > 0) {
+            markLeaving(observation.server(), LeavingCause.PEER, configuration.revision(), sink);
+        }
+    }
+
+    /** Records that a backend server told this host that it leaves, and queues that for other hosts. */
+    public void recordLeaving(ServerState server, LeavingCause cause, long now, DecisionSink sink) {
+        if (servers.get(server.identity()) != server) {
+            return;
+        }
+        if (server.leavingCause() == LeavingCause.NONE) {
+            queueObservation(server, ObservationKind.LEAVING, null, now);
         }
+        markLeaving(server.identity(), cause, configuration.revision(), sink);
     }
 
     /** Records a load report that a probe or a refusal returned, and queues it for other hosts. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
@@ -141,6 +141,10 @@
             case OTHER_SERVER -> services.markLeaving(ended.address(), LeavingCause.REPLACED, revision, sink);
             case UNREACHABLE -> services.recordUnreachable(server, now);
             case UNWELL -> recordAnsweredProbe(server, false, now);
+            case LEAVING -> {
+                recordAnsweredProbe(server, true, now);
+                services.recordLeaving(server, LeavingCause.HEADER, now, sink);
+            }
             default -> recordAnsweredProbe(server, true, now);
         }
         boolean statesLimit = ended.limit() != null && !ended.limit().unlimited();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/ProbeFinding.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/ProbeFinding.java
@@ -8,6 +8,9 @@
     /** The backend server reported that it is unhealthy. */
     UNWELL,
 
+    /** The backend server reported that it is leaving. */
+    LEAVING,
+
     /** The backend server could not be connected to or did not answer. */
     UNREACHABLE,
 
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
@@ -66,6 +66,14 @@
      */
     LoadReport loadReport(HttpHeaders headers);
 
+    /**
+     * Returns whether an answer states that its backend server is leaving.
+     *
+     * @param headers the header fields of the answer
+     * @return {@code true} if it does
+     */
+    boolean leaving(HttpHeaders headers);
+
     /**
      * Reads the request limit that an answer states.
      *
@@ -151,7 +159,7 @@
             return new Event.AnswerHead(
                     status,
                     signal.matches(status, headers.get(signal.header())),
-                    headers.contains(HeaderNames.SERVER_LEAVING),
+                    leaving(headers),
                     loadReport(headers));
         }
 
@@ -169,6 +177,11 @@
             return LoadReportField.parse(headers.get(HeaderNames.LOAD_REPORT)).orElse(null);
         }
 
+        @Override
+        public boolean leaving(HttpHeaders headers) {
+            return headers.contains(HeaderNames.SERVER_LEAVING);
+        }
+
         @Override
         public RequestLimit requestLimit(HttpHeaders headers) {
             return null;
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/LeavingCause.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/LeavingCause.java
@@ -46,7 +46,7 @@
      * @return {@code false} if the health of the backend server cannot revoke the cause
      */
     public boolean revocable() {
-        return this != CONFIGURATION && this != ANNOUNCEMENT && this != REPLACED;
+        return this != NONE && this != CONFIGURATION && this != ANNOUNCEMENT && this != REPLACED;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -83,6 +83,9 @@
     /** How the host learnt that the backend server is leaving, {@link LeavingCause#NONE} if it is in service. */
     private LeavingCause leavingCause;
 
+    /** How the backend server itself made known that it is leaving, {@link LeavingCause#NONE} if it has not. */
+    private LeavingCause ownStatement = LeavingCause.NONE;
+
     /** The number of requests sent. */
     private long requestsSent;
 
@@ -123,7 +126,7 @@
 
     /**
      * Applies a changed configuration or announcement of the backend server, which may mark it as leaving or revoke
-     * that.
+     * that. It does not revoke what the backend server itself made known.
      *
      * @param changed the backend server as now configured or announced
      */
@@ -133,10 +136,24 @@
         if (changed.mode() == ServerMode.LEAVING) {
             leavingCause = statedCause;
         } else if (leavingCause == statedCause) {
-            leavingCause = LeavingCause.NONE;
+            leavingCause = ownStatement;
         }
     }
 
+    /**
+     * Adopts what the same process of the backend server made known before its announcement lapsed and returned.
+     *
+     * @param earlier the state of that time
+     */
+    public void adoptStatements(ServerState earlier) {
+        markLeaving(earlier.ownStatement);
+    }
+
+    /** Returns whether the backend server itself made known that it is leaving. */
+    public boolean hasStatements() {
+        return ownStatement != LeavingCause.NONE;
+    }
+
     /**
      * Records that a request is about to be sent.
      *
@@ -240,6 +257,7 @@
      * @return {@code true} if it was in service before
      */
     public boolean markLeaving(LeavingCause cause) {
+        ownStatement = cause.revocable() ? cause : ownStatement;
         if (leavingCause != LeavingCause.NONE) {
             return false;
         }
@@ -254,6 +272,7 @@
      * @return {@code true} if it was leaving before and is in service now
      */
     public boolean markInService() {
+        ownStatement = LeavingCause.NONE;
         if (leavingCause == LeavingCause.NONE || !leavingCause.revocable()) {
             return false;
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
@@ -188,18 +188,25 @@
     private void handleProbeAnswer(String address, long sentAtNanoseconds, HttpClientResponse response) {
         probesInProgress.remove(address);
         HttpHeaders headers = response.responseHeaders();
-        String identity = dialect.serverIdentity(headers);
         LoadReport report = dialect.loadReport(headers);
-        ProbeFinding finding =
-                response.status().code() == SERVICE_UNAVAILABLE ? ProbeFinding.UNWELL : ProbeFinding.SERVING;
-        if (identity != null && !identity.equals(address)) {
-            finding = ProbeFinding.OTHER_SERVER;
-        }
+        ProbeFinding finding = finding(address, response.status().code(), headers);
         long elapsedNanoseconds = report == null ? 0 : System.nanoTime() - sentAtNanoseconds;
         driver.handle(new Event.ProbeEnded(
                 address, true, report, elapsedNanoseconds, finding, dialect.requestLimit(headers)));
     }
 
+    /** Returns what the answer to a probe states besides the load. */
+    private ProbeFinding finding(String address, int status, HttpHeaders headers) {
+        String identity = dialect.serverIdentity(headers);
+        if (identity != null && !identity.equals(address)) {
+            return ProbeFinding.OTHER_SERVER;
+        }
+        if (dialect.leaving(headers)) {
+            return ProbeFinding.LEAVING;
+        }
+        return status == SERVICE_UNAVAILABLE ? ProbeFinding.UNWELL : ProbeFinding.SERVING;
+    }
+
     /**
      * Informs the decision core that a probe failed.
      *
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -16,6 +16,7 @@
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.measure.ProbeFinding;
+import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.RequestLimit;
 
 /**
@@ -36,6 +37,9 @@
     /** The time within which a request that cannot be served is refused: an eighth of the lowest target latency. */
     private static final long PROMPT_MILLISECONDS = 300 / 8;
 
+    /** The time after which a gateway must send no request to a server that said it leaves, as the platform states. */
+    private static final long DRAIN_MILLISECONDS = 2000;
+
     private static final long TIMEOUT_MILLISECONDS = 1000;
 
     private static final long STEP_MILLISECONDS = 10;
@@ -117,6 +121,43 @@
         network.publish(TextDecoder.server(identity, 0, "ready", dataCentre));
     }
 
+    /** Lets the announcement of a backend server lapse, though it goes on running, or return with a state. */
+    void announce(String identity, String dataCentre, String state) {
+        boolean lapsed = state == null;
+        network.publish(
+                lapsed
+                        ? new PublishedItem("server " + identity, 0, null)
+                        : TextDecoder.server(identity, 0, state, dataCentre));
+    }
+
+    /** Lets the answers of a backend server say that it leaves, or no longer say so. */
+    void setLeaving(String identity, boolean leaving) {
+        servers.get(identity).leaving = leaving;
+    }
+
+    /** Lets the answers of all backend servers say that they leave. */
+    void setAllLeaving() {
+        servers.values().forEach(server -> server.leaving = true);
+    }
+
+    /** Lets a new process of a backend server start under its identity. */
+    void startAgain(String identity, String dataCentre) {
+        servers.get(identity).toldLeavingAt.clear();
+        network.publish(TextDecoder.server(identity, 0, "ready", dataCentre, network.now()));
+    }
+
+    /** Returns the number of requests that came too late after the word that their backend server leaves. */
+    int countRequestsAfterLeaving() {
+        return servers.values().stream()
+                .mapToInt(server -> server.requestsAfterLeaving)
+                .sum();
+    }
+
+    /** Returns the number of gateways that have forwarded the word of a backend server that it leaves. */
+    int countToldOfLeaving(String identity) {
+        return servers.get(identity).toldLeavingAt.size();
+    }
+
     /** Lets a backend server state a limit from now on, or that it has none. */
     void limit(String identity, RequestLimit limit) {
         servers.get(identity).limit = limit;
@@ -176,7 +217,10 @@
         network.start(number);
         String host = FleetNetwork.name(number);
         forwarding.forget(host);
-        servers.values().forEach(server -> server.toldAt.remove(host));
+        servers.values().forEach(server -> {
+            server.toldAt.remove(host);
+            server.toldLeavingAt.remove(host);
+        });
         disturbedUntil.put(host, milliseconds() + UNDISTURBED_MILLISECONDS);
     }
 
@@ -256,6 +300,13 @@
         return found;
     }
 
+    /** Returns the number of requests that a backend server got in the last milliseconds, from any gateway. */
+    long countReceivedBy(String identity, long lastMilliseconds) {
+        return servers.get(identity).received.stream()
+                .filter(request -> request.at() > milliseconds() - lastMilliseconds)
+                .count();
+    }
+
     /** Returns the number of requests that all backend servers got in the last milliseconds, from any gateway. */
     long countReceived(long lastMilliseconds) {
         return servers.values().stream()
@@ -298,6 +349,9 @@
             if (!server.limit.unlimited()) {
                 server.toldAt.putIfAbsent(host, milliseconds());
             }
+            if (server.leaving) {
+                server.toldLeavingAt.putIfAbsent(host, milliseconds());
+            }
         } else if (decision instanceof Decision.Drop drop) {
             drop(host, sends.get(new HostNumber(host, drop.attempt())));
         } else if (decision instanceof Decision.Probe probe) {
@@ -399,6 +453,10 @@
                 && disturbedUntil.getOrDefault(host, 0L) <= milliseconds()
                 && milliseconds() - server.limitedSince >= ADAPTATION_MILLISECONDS;
         server.receive(new SimulatedBackendServer.Request(milliseconds(), counted));
+        long arrivedAt = arrivals.get(new HostNumber(host, send.call()));
+        boolean toldInTime =
+                arrivedAt - server.toldLeavingAt.getOrDefault(host, Long.MAX_VALUE / 2) > DRAIN_MILLISECONDS;
+        server.requestsAfterLeaving += toldInTime ? 1 : 0;
         int status = random.nextDouble() < errorShare ? 500 : 200;
         server.running++;
         HostNumber attempt = new HostNumber(host, send.attempt());
@@ -408,7 +466,8 @@
             if (!server.open.remove(attempt) || lostLinks.get(host) == LinkLoss.HANGING) {
                 return;
             }
-            Event.AnswerHead head = new Event.AnswerHead(status, false, false, server.report(), false, server.limit);
+            Event.AnswerHead head =
+                    new Event.AnswerHead(status, false, server.leaving, server.report(), false, server.limit);
             if (network.isRunning(host)) {
                 network.scheduleEvent(host, new Event.AnswerStarted(send.attempt(), head), 1);
             }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedBackendServer.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedBackendServer.java
@@ -27,6 +27,15 @@
 
     final Set<HostNumber> open = new HashSet<>();
 
+    /** The times at which gateways forwarded an answer that says that this server leaves. */
+    final Map<String, Long> toldLeavingAt = new HashMap<>();
+
+    /** Whether answers say that this server leaves. */
+    boolean leaving;
+
+    /** The number of requests that came too late after such an answer. */
+    int requestsAfterLeaving;
+
     RequestLimit limit = RequestLimit.NONE;
 
     long limitedSince;
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/TextDecoder.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/TextDecoder.java
@@ -12,12 +12,20 @@
 
     static final String CONFIGURATION = "configuration";
 
+    private static final long FIRST_INCARNATION = 1;
+
     static PublishedItem server(String identity, long revision, String state) {
         return server(identity, revision, state, "a");
     }
 
     static PublishedItem server(String identity, long revision, String state, String dataCentre) {
-        String text = String.join(" ", identity, "jobs", "10.0.0." + identity.substring(1) + ":80", dataCentre, state);
+        return server(identity, revision, state, dataCentre, FIRST_INCARNATION);
+    }
+
+    /** Returns the announcement of a process of a backend server. */
+    static PublishedItem server(String identity, long revision, String state, String dataCentre, long incarnation) {
+        String address = "10.0.0." + identity.substring(1) + ":80";
+        String text = String.join(" ", identity, "jobs", address, dataCentre, state, Long.toString(incarnation));
         return new PublishedItem("server " + identity, revision, text.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -31,7 +39,7 @@
             String[] fields = text.split(" ");
             return new Publication.ServerAnnouncement(new RegisteredServer(
                     fields[0],
-                    1,
+                    Long.parseLong(fields[5]),
                     item.revision(),
                     fields[1],
                     fields[2],
