--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashReportTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashReportTest.java
@@ -2,9 +2,12 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.oneOf;
 
 import java.util.List;
 import org.chivecourse.configuration.model.Method;
+import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostCore;
@@ -37,9 +40,22 @@
             network.handle("host-3", new Event.ProbeEnded(server, true, null, 0, ProbeFinding.UNREACHABLE));
         }
         network.advance(4000);
+        assertThat(findings(network, 3), everyItem(equalTo("possible")));
+        network.advance(7000);
+        assertThat(findings(network, 3), everyItem(oneOf("possible", "withdrawn")));
         assertThat(network.core(3).poisonRequests().failedServerCount(77), equalTo(0));
     }
 
+    /** Returns what a gateway found about requests under which backend servers ended or may have ended. */
+    private static List<String> findings(FleetNetwork network, int host) {
+        return network.decisions(host).stream()
+                .filter(Decision.Audit.class::isInstance)
+                .map(decision -> ((Decision.Audit) decision).change())
+                .filter(change -> change.subject() == Decision.Subject.REQUEST_SUSPECTED)
+                .map(Decision.Change::to)
+                .toList();
+    }
+
     @Test
     void repeatsCrashWhoseFirstReportIsLost() {
         FleetNetwork network = startedFleet();
