End the trial of a suspected request whose server had ended under it before

Found in the reading of the change: if the only usable servers have ended under the request before, its only copy runs at one of them; the end told nothing new, the trial was never ended, and no further copy was sent until the suspicion expired after ten minutes. FailingServersTest.sendsNextCopyAfterServerEndsUnderRequestAgain fails without the change (two servers, the fourth copy waits) and passes with it. The other tests of suspected requests pass as before.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -92,7 +92,7 @@
             return;
         }
         suspicion.withdraw(server);
-        suspicion.trialServer = server.equals(suspicion.trialServer) ? null : suspicion.trialServer;
+        suspicion.endTrial(server);
         if (suspicion.empty()) {
             suspicions.remove(fingerprint);
         }
@@ -177,12 +177,17 @@
             suspicion.withdraw(crash.server());
             return CrashFinding.BLOCKED_BEFORE;
         }
+        if (!crash.possible() && suspicion.crashes.containsKey(crash.server())) {
+            suspicion.endTrial(crash.server());
+            return CrashFinding.KNOWN;
+        }
         long ownAnswerAt = recentAnswers.latest(crash.fingerprint(), crash.endedAt() - 1);
         if (crash.endedAt() - ownAnswerAt <= 0 && !(suspicion.answered && ownAnswerAt - suspicion.answeredAt <= 0)) {
             suspicion.recordAnswer(ownAnswerAt, now);
         }
         if (suspicion.answered && crash.endedAt() - suspicion.answeredAt <= 0) {
             suspicion.withdraw(crash.server());
+            suspicion.endTrial(crash.server());
             return CrashFinding.ANSWERED_SINCE;
         }
         if (suspicion.crashes.containsKey(crash.server())) {
@@ -227,10 +232,9 @@
      * ends servers. While many other servers end it takes a second one, since the first may be a coincidence.
      */
     private boolean proves(Suspicion suspicion, Crash crash) {
-        if (!crash.server().equals(suspicion.trialServer)) {
+        if (!suspicion.endTrial(crash.server())) {
             return false;
         }
-        suspicion.trialServer = null;
         suspicion.failedTrials++;
         return suspicion.failedTrials >= FAILED_TRIALS_TO_BLOCK
                 || !serverEnds.isMassEnd(crash.endedAt(), end -> isNoOtherCause(end, suspicion, crash.fingerprint()));
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Suspicion.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Suspicion.java
@@ -59,6 +59,13 @@
         unannounced.removeIf(crash -> crash.server().equals(server));
     }
 
+    /** Ends the run of the only copy if it is at a backend server, and returns whether it is. */
+    boolean endTrial(String server) {
+        boolean runsThere = server.equals(trialServer);
+        trialServer = runsThere ? null : trialServer;
+        return runsThere;
+    }
+
     /** Removes all possible crashes. */
     void withdrawAll() {
         unconfirmed.clear();
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/host/FailingServersTest.java
@@ -99,6 +99,16 @@
             assertThat(harness.onlyDecision(Decision.Refuse.class).refusal().reason(), equalTo(Reason.CONVICTED));
         }
 
+        /** The only copy ran at a server that had ended under the request before, so that its end told nothing new. */
+        @Test
+        void sendsNextCopyAfterServerEndsUnderRequestAgain() {
+            CoreHarness harness = CoreHarness.withService(CoreHarness.jobsService(2));
+            for (int duplicate = 0; duplicate < 5; duplicate++) {
+                crash(harness, 99);
+                harness.advance(2000);
+            }
+        }
+
         @Test
         void blocksRequestAgainThatGoesOnAfterItsBlockHasEnded() {
             PoisonRequests requests = new PoisonRequests();
