Log when a gateway falls behind the published items, and how it catches up

No line told when a gateway first heard of a higher revision, from whom, and whether items were carried, pulled or read.

The exchange of published items moves from FleetExchange to PublicationSpread on the way; what is decided stays as it was. Run: PublicationLagTest, FleetExchangeTest, LargeFleetTest, LayersTest.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -307,6 +307,9 @@
         /** Another gateway. */
         GATEWAY,
 
+        /** Whether this gateway has all published items that others are known to have, and how it received them. */
+        PUBLICATION,
+
         /** A published item that cannot be decoded. */
         PUBLISHED_ITEM,
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -17,7 +17,6 @@
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
-import org.chivecourse.state.publication.PublishedItem;
 
 /**
  * Exchanges digests with the other gateways of a fleet that is discovered through seeds, and applies what they report.
@@ -28,18 +27,12 @@
  */
 public final class FleetExchange {
 
-    /** The time after which a pull of published items no longer prevents another one, in nanoseconds. */
-    private static final long PULL_TIMEOUT_NANOSECONDS = 500_000_000L;
-
     /**
      * The longest time after the start for which a gateway does not serve because a peer reports a higher revision, in
      * nanoseconds.
      */
     private static final long CATCH_UP_TIMEOUT_NANOSECONDS = 1_500_000_000L;
 
-    /** The maximum total size of the keys and values of published items that a digest carries, in bytes. */
-    private static final int MAXIMUM_INLINE_CHANGES_BYTES = 800;
-
     /** The number of nanoseconds in a millisecond. */
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
 
@@ -55,6 +48,9 @@
     /** The published items, decoded into the registry of backend servers and the configuration. */
     private final PublishedState publishedState;
 
+    /** Exchanges published items with the other gateways. */
+    private final PublicationSpread spread;
+
     /** Schedules the calls that read from the publisher. */
     private final PublicationPoller poller = new PublicationPoller();
 
@@ -85,11 +81,6 @@
     /** The time at which silent peers were last removed, in nanoseconds. */
     private long lastCleanupAt;
 
-    /**
-     * The time at which the pull in flight started, in nanoseconds, or a time in the distant past if none is in flight.
-     */
-    private long pullStartedAt = Long.MIN_VALUE / 2;
-
     /** Whether this gateway is stopping, so that it no longer watches the publisher. */
     private boolean stopping;
 
@@ -119,6 +110,7 @@
         peers = new FleetPeers(new Member(settings.name(), settings.fleet().address(), settings.dataCentre()));
         requestLimits = new RequestLimitExchange(peers, services);
         composer = new DigestComposer(settings, peers, poisonRequests);
+        spread = new PublicationSpread(peers, publishedState, this::composeDigest);
         schedule = new DigestSchedule(settings, peers, services.observations(), requestLimits, this::composeDigest);
     }
 
@@ -217,7 +209,7 @@
                             now - digest.publisherStatus().lastAnswerAgeMilliseconds() * NANOSECONDS_PER_MILLISECOND);
         }
         boolean local = peers.isLocal(sender);
-        applyDigestChanges(digest, local, now, sink);
+        spread.receive(digest, local, now, sink);
         for (Observation observation : digest.observations()) {
             services.applyObservation(observation, now, sink);
             if (local) {
@@ -270,33 +262,6 @@
         return services.configuration().revision();
     }
 
-    /**
-     * Applies the published items of a digest, forwards new ones from another data centre within this one if this
-     * gateway is the relay, and pulls missing items from the sender.
-     *
-     * @param digest the digest
-     * @param local whether the sender is in the same data centre
-     * @param now the current time in nanoseconds
-     * @param sink receives the resulting decisions
-     */
-    private void applyDigestChanges(FleetDigest digest, boolean local, long now, DecisionSink sink) {
-        long previousRevision = publishedState.revision();
-        if (digest.changes() != null) {
-            publishedState.applyChanges(digest.changes(), digest.sender().name(), now, sink);
-        }
-        boolean forwards = BridgeElection.INSTANCE.mustForward(peers) && RelayElection.INSTANCE.isRelay(peers, now);
-        if (!local && publishedState.revision() > previousRevision && forwards) {
-            Content content = new Content(false, 0, List.of(), List.of(), 0, List.of(), digest.changes());
-            DigestSchedule.send(peers.liveLocal(now), composeDigest(content, now), now, sink);
-        }
-        boolean senderAhead = digest.publisherStatus().revision() > publishedState.revision();
-        if (senderAhead && now - pullStartedAt >= PULL_TIMEOUT_NANOSECONDS) {
-            pullStartedAt = now;
-            sink.decide(new Decision.PullPublication(
-                    digest.sender().name(), digest.sender().address(), publishedState.revision()));
-        }
-    }
-
     /**
      * Applies published items that were pulled from another gateway.
      *
@@ -305,13 +270,12 @@
      * @param sink receives the resulting decisions
      */
     public void applyPulledChanges(Event.PublicationPulled event, long now, DecisionSink sink) {
-        finishPull();
-        publishedState.applyChanges(event.changes(), event.name(), now, sink);
+        spread.applyPulled(event, now, sink);
     }
 
     /** Records that the pull in flight ended, so that another one may start. */
     public void finishPull() {
-        pullStartedAt = Long.MIN_VALUE / 2;
+        spread.finishPull();
     }
 
     /**
@@ -328,8 +292,8 @@
         }
         publishedState.outageDetector().recordAnswer(now);
         long previousRevision = publishedState.revision();
-        publishedState.replace(event.items(), event.revision(), "publisher", now, sink);
-        broadcastChanges(previousRevision, now, sink);
+        publishedState.replace(event.items(), event.revision(), PublicationSpread.PUBLISHER, now, sink);
+        spread.broadcast(previousRevision, now, sink);
     }
 
     /**
@@ -346,8 +310,11 @@
         publishedState.outageDetector().recordAnswer(now);
         long previousRevision = publishedState.revision();
         publishedState.applyChanges(
-                new FleetDigest.Changes(event.after(), event.revision(), event.items()), "publisher", now, sink);
-        broadcastChanges(previousRevision, now, sink);
+                new FleetDigest.Changes(event.after(), event.revision(), event.items()),
+                PublicationSpread.PUBLISHER,
+                now,
+                sink);
+        spread.broadcast(previousRevision, now, sink);
         runDueTasks(now, sink);
     }
 
@@ -361,28 +328,6 @@
         poller.failCall(event.call(), event.forgotten(), now);
     }
 
-    /**
-     * Sends a digest about newly read items to all live gateways immediately. It carries the items themselves if they
-     * are small enough; otherwise the recipients pull them. Nothing is sent after the first read of this gateway.
-     *
-     * @param previousRevision the revision before the read, zero if nothing was known
-     * @param now the current time in nanoseconds
-     * @param sink receives the resulting decisions
-     */
-    private void broadcastChanges(long previousRevision, long now, DecisionSink sink) {
-        if (publishedState.revision() <= previousRevision || previousRevision == 0) {
-            return;
-        }
-        FleetDigest.Changes changes = publishedState.changesAfter(previousRevision);
-        int bytes = 0;
-        for (PublishedItem item : changes.items()) {
-            bytes += item.key().length() + (item.removed() ? 0 : item.value().length);
-        }
-        boolean fits = bytes <= MAXIMUM_INLINE_CHANGES_BYTES && changes.after() > 0;
-        Content content = new Content(false, 0, List.of(), List.of(), 0, List.of(), fits ? changes : null);
-        DigestSchedule.send(peers.live(now), composeDigest(content, now), now, sink);
-    }
-
     /**
      * Composes a digest with the current publisher status of this gateway. Where only bridges receive digests from
      * other data centres, it reports the last answer of the publisher to any gateway, otherwise only the last answer to
