--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -1,6 +1,5 @@
 package org.chivecourse.coordination.fleet;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,22 +9,18 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.chivecourse.configuration.format.ConfigurationWriter;
-import org.chivecourse.configuration.model.CallerRoute;
-import org.chivecourse.configuration.model.Configuration;
-import org.chivecourse.configuration.model.Discovery;
-import org.chivecourse.configuration.model.Idempotency;
-import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.choice.ChoicePolicy;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.FleetSettings;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.coordination.publication.PublicationDecoder;
+import org.chivecourse.protocol.peer.FleetCodec;
 import org.chivecourse.protocol.peer.MessageAuthenticator;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.PeerMessageException;
-import org.chivecourse.state.publication.PublicationTable;
+import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.publication.PublishedItem;
 
 /** Simulates gateways, a publisher and the links between them on virtual time. */
@@ -33,8 +28,6 @@
 
     static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
 
-    private static final long DELIVERY_DELAY_NANOSECONDS = NANOSECONDS_PER_MILLISECOND;
-
     private final PeerCodec codec = new PeerCodec(MessageAuthenticator.Disabled.INSTANCE);
 
     private final Map<String, HostCore> cores = new LinkedHashMap<>();
@@ -43,28 +36,30 @@
 
     private final Set<String> down = new HashSet<>();
 
-    private final Set<String> disconnectedFromPublisher = new HashSet<>();
-
     private final Set<String> disconnectedFromPeers = new HashSet<>();
 
-    private final PublicationTable publisherItems = new PublicationTable();
+    private final SimulatedPublisher publisher;
 
-    private final List<Watch> watches = new ArrayList<>();
-
-    private final PriorityQueue<Pending> pending = new PriorityQueue<>();
+    private final PriorityQueue<FleetDelivery> pending = new PriorityQueue<>();
 
     private final List<String> seeds;
 
     private final boolean forwarding;
 
+    private final FleetLinks links;
+
+    private final PublicationDecoder decoder;
+
+    private final Set<String> waitingTicks = new HashSet<>();
+
+    private final ConfigurationTimes configurationTimes = new ConfigurationTimes();
+
     private final Map<String, List<Decision>> decisions = new HashMap<>();
 
     private long now = 1_000 * NANOSECONDS_PER_MILLISECOND;
 
     private long lastOrder;
 
-    private boolean publisherDown;
-
     private double digestLoss;
 
     private final SplittableRandom lossRandom = new SplittableRandom(1);
@@ -79,9 +74,24 @@
 
     /** Creates a fleet whose gateways forward calls to each other, if that is simulated. */
     FleetNetwork(int hosts, boolean forwarding) {
+        this(hosts, forwarding, UnlimitedLinks.INSTANCE, new TextDecoder(), List.of(configuration(1, 1)));
+    }
+
+    /** Creates a fleet with its links, and what is published when it starts. */
+    FleetNetwork(
+            int hosts,
+            boolean forwarding,
+            FleetLinks links,
+            PublicationDecoder decoder,
+            List<PublishedItem> published) {
         this.forwarding = forwarding;
+        this.links = links;
+        this.decoder = decoder;
         seeds = List.of(address(0), address(1));
-        publisherItems.replaceAll(List.of(configuration(1, 1)), 1);
+        publisher = new SimulatedPublisher(
+                published,
+                (host, incarnation, items, event) ->
+                        schedule(publication(items), host, incarnation, () -> handle(host, event)));
         for (int number = 0; number < hosts; number++) {
             start(number);
         }
@@ -96,16 +106,7 @@
     }
 
     static PublishedItem configuration(long configurationRevision, long revision) {
-        Configuration configuration = Configuration.revision(configurationRevision)
-                .service(Service.named("jobs").discovery(Discovery.DEFAULT))
-                .callerRoute(CallerRoute.of("lookups", "jobs.example", "/lookups/", "jobs")
-                        .idempotency(Idempotency.IDEMPOTENT)
-                        .attempts(2))
-                .callerRoute(CallerRoute.of("orders", "jobs.example", "/orders/", "jobs")
-                        .idempotency(Idempotency.NOT_IDEMPOTENT)
-                        .attempts(2));
-        String text = new ConfigurationWriter().printUnchecked(configuration);
-        return new PublishedItem(TextDecoder.CONFIGURATION, revision, text.getBytes(StandardCharsets.UTF_8));
+        return FleetConfigurations.small(configurationRevision, revision);
     }
 
     /** Starts a gateway, or restarts it with empty memory under a new incarnation. */
@@ -120,7 +121,7 @@
                 forwarding ? "10.0.1." + number + ":7100" : "");
         HostSettings settings = new HostSettings(
                 name,
-                "dc-" + number % 3,
+                "dc-" + number % links.dataCentres(),
                 14,
                 true,
                 incarnation,
@@ -128,8 +129,9 @@
                 ChoicePolicy.EARLIEST_FINISH,
                 1000,
                 fleet);
-        cores.put(name, new HostCore(settings, new SplittableRandom(number), new TextDecoder()));
+        cores.put(name, new HostCore(settings, new SplittableRandom(number), decoder));
         down.remove(name);
+        waitingTicks.remove(name);
     }
 
     void kill(int number) {
@@ -138,11 +140,7 @@
     }
 
     void setDisconnectedFromPublisher(int number, boolean disconnected) {
-        if (disconnected) {
-            disconnectedFromPublisher.add(name(number));
-        } else {
-            disconnectedFromPublisher.remove(name(number));
-        }
+        publisher.setDisconnected(name(number), disconnected);
     }
 
     void setDisconnectedFromPeers(int number, boolean disconnected) {
@@ -154,10 +152,7 @@
     }
 
     void setPublisherDown(boolean isDown) {
-        publisherDown = isDown;
-        if (isDown) {
-            watches.clear();
-        }
+        publisher.setDown(isDown);
     }
 
     /** Loses a share of the digests between gateways from now on. */
@@ -172,67 +167,85 @@
 
     /** Delivers an event to a gateway after a delay, unless it is down or restarted by then. */
     void scheduleEvent(String host, Event event, long delayMilliseconds) {
-        pending.add(new Pending(
+        pending.add(new FleetDelivery(
                 now + delayMilliseconds * NANOSECONDS_PER_MILLISECOND,
                 ++lastOrder,
                 host,
                 incarnations.get(host),
-                event));
+                null,
+                () -> handle(host, event)));
     }
 
     /** Publishes an item under the next revision and answers all open watches. */
     long publish(PublishedItem item) {
-        long revision = publisherItems.revision() + 1;
-        PublishedItem numbered = new PublishedItem(item.key(), revision, item.value());
-        publisherItems.applyChanges(List.of(numbered), publisherItems.revision(), revision);
-        List<Watch> pendingWatches = List.copyOf(watches);
-        watches.clear();
-        pendingWatches.forEach(watch -> answer(watch));
-        return revision;
+        return publisher.publish(item);
     }
 
-    private void answer(Watch watch) {
-        if (publisherDown || disconnectedFromPublisher.contains(watch.host)) {
-            return;
+    private static FleetMessage publication(List<PublishedItem> items) {
+        int bytes = 0;
+        for (PublishedItem item : items) {
+            bytes += item.key().length() + (item.removed() ? 0 : item.value().length);
         }
-        schedule(
-                watch.host,
-                watch.incarnation,
-                new Event.PublicationChanged(
-                        watch.call, publisherItems.changesAfter(watch.after), watch.after, publisherItems.revision()));
+        return new FleetMessage(FleetMessage.Kind.PUBLICATION, FleetLinks.PUBLISHER, bytes);
     }
 
-    private void schedule(String host, int incarnation, Event event) {
-        pending.add(new Pending(now + DELIVERY_DELAY_NANOSECONDS, ++lastOrder, host, incarnation, event));
+    private void schedule(FleetMessage message, String host, int incarnation, Runnable action) {
+        long arrival = links.arrival(message, number(host), now);
+        if (arrival != FleetLinks.LOST) {
+            pending.add(new FleetDelivery(arrival, ++lastOrder, host, incarnation, message, action));
+        }
     }
 
     /** Advances virtual time in steps of 10 ms, in which due messages are delivered and each gateway handles a tick. */
     void advance(long milliseconds) {
         long end = now + milliseconds * NANOSECONDS_PER_MILLISECOND;
         while (now < end) {
-            now += 10 * NANOSECONDS_PER_MILLISECOND;
-            while (!pending.isEmpty() && pending.peek().deliverAt <= now) {
-                Pending next = pending.poll();
-                if (cores.containsKey(next.host) && incarnations.get(next.host) == next.incarnation) {
-                    handle(next.host, next.event);
-                }
-            }
-            for (Watch watch : List.copyOf(watches)) {
-                if (now >= watch.until) {
-                    watches.remove(watch);
-                    answer(watch);
-                }
+            long stepEnd = now + 10 * NANOSECONDS_PER_MILLISECOND;
+            while (!pending.isEmpty() && pending.peek().dueAt() <= stepEnd) {
+                FleetDelivery next = pending.poll();
+                now = links.handledAt(next.dueAt(), stepEnd);
+                deliver(next);
             }
+            now = stepEnd;
+            publisher.answerExpired(now);
             for (String host : List.copyOf(cores.keySet())) {
-                handle(host, new Event.TimePassed());
+                tick(host);
             }
         }
     }
 
+    private void deliver(FleetDelivery delivery) {
+        String host = delivery.host();
+        if (!cores.containsKey(host) || incarnations.get(host) != delivery.incarnation()) {
+            return;
+        }
+        long readyAt = delivery.message() == null
+                ? delivery.dueAt()
+                : links.readyAt(delivery.message(), number(host), delivery.dueAt());
+        if (readyAt <= delivery.dueAt()) {
+            delivery.action().run();
+        } else if (readyAt != FleetLinks.LOST) {
+            pending.add(delivery.passed(readyAt, ++lastOrder));
+        }
+    }
+
+    private void tick(String host) {
+        if (!links.ticks(number(host), now) || !waitingTicks.add(host)) {
+            return;
+        }
+        deliver(new FleetDelivery(
+                now, ++lastOrder, host, incarnations.get(host), FleetMessage.tick(number(host)), () -> {
+                    waitingTicks.remove(host);
+                    handle(host, new Event.TimePassed());
+                }));
+    }
+
     List<Decision> handle(String host, Event event) {
         List<Decision> newDecisions = new ArrayList<>();
         cores.get(host).handle(event, now, newDecisions::add);
         decisions.computeIfAbsent(host, key -> new ArrayList<>()).addAll(newDecisions);
+        configurationTimes.record(
+                host, cores.get(host).services().configuration().revision(), now);
         newDecisions.forEach(decision -> perform(host, decision));
         return newDecisions;
     }
@@ -240,70 +253,80 @@
     private void perform(String host, Decision decision) {
         int incarnation = incarnations.get(host);
         if (decision instanceof Decision.SendFleetDigest send) {
-            send.addresses().forEach(address -> deliver(host, address, send));
+            send(host, send);
         } else if (decision instanceof Decision.PullPublication pull) {
             pull(host, incarnation, pull);
         } else if (decision instanceof Decision.ListPublication list) {
             publisherCalls++;
-            if (!publisherDown && !disconnectedFromPublisher.contains(host)) {
-                schedule(
-                        host,
-                        incarnation,
-                        new Event.PublicationListed(
-                                list.call(), publisherItems.publishedItems(), publisherItems.revision()));
-            }
+            publisher.list(host, incarnation, list.call());
         } else if (decision instanceof Decision.WatchPublication watch) {
             publisherCalls++;
-            Watch waiting = new Watch(
-                    host,
-                    incarnation,
-                    watch.call(),
-                    watch.after(),
-                    now + watch.waitMilliseconds() * NANOSECONDS_PER_MILLISECOND);
-            if (!publisherDown && !disconnectedFromPublisher.contains(host)) {
-                watches.add(waiting);
-            }
+            long until = now + watch.waitMilliseconds() * NANOSECONDS_PER_MILLISECOND;
+            publisher.watch(new SimulatedPublisher.Watch(host, incarnation, watch.call(), watch.after(), until));
         }
         listener.onDecision(host, decision);
     }
 
-    private void deliver(String from, String address, Decision.SendFleetDigest send) {
-        String to = hostAt(address);
-        String senderAddress = send.digest().sender().address();
-        if (to == null || disconnectedFromPeers.contains(address) || disconnectedFromPeers.contains(senderAddress)) {
-            return;
-        }
-        if (digestLoss > 0 && lossRandom.nextDouble() < digestLoss) {
-            return;
-        }
+    private void send(String from, Decision.SendFleetDigest send) {
+        byte[] datagram = codec.encode(send.digest(), now);
+        FleetMessage message = new FleetMessage(FleetMessage.Kind.DIGEST, number(from), datagram.length);
         try {
-            schedule(to, incarnations.get(to), codec.decode(codec.encode(send.digest(), now), from, now));
+            Event event = codec.decode(datagram, from, now);
+            for (String address : send.addresses()) {
+                send(message, event, send.digest().sender().address(), address);
+            }
         } catch (PeerMessageException exception) {
             throw new AssertionError(exception);
         }
     }
 
+    private void send(FleetMessage message, Event event, String senderAddress, String address) {
+        String to = hostAt(address);
+        boolean reachable = to != null
+                && !disconnectedFromPeers.contains(address)
+                && !disconnectedFromPeers.contains(senderAddress);
+        boolean lost = reachable && digestLoss > 0 && lossRandom.nextDouble() < digestLoss;
+        if (reachable && !lost) {
+            schedule(message, to, incarnations.get(to), () -> handle(to, event));
+        }
+    }
+
     private void pull(String host, int incarnation, Decision.PullPublication pull) {
         String from = hostAt(pull.address());
-        boolean disconnected = disconnectedFromPeers.contains(pull.address())
-                || disconnectedFromPeers.contains(address(Integer.parseInt(host.substring(host.indexOf('-') + 1))));
+        boolean disconnected =
+                disconnectedFromPeers.contains(pull.address()) || disconnectedFromPeers.contains(address(number(host)));
         if (from == null || disconnected) {
             return;
         }
+        if (links.answersPullsAtOnce()) {
+            answerPull(from, host, incarnation, pull);
+            return;
+        }
+        schedule(
+                FleetMessage.pullRequest(number(host)),
+                from,
+                incarnations.get(from),
+                () -> answerPull(from, host, incarnation, pull));
+    }
+
+    private void answerPull(String from, String host, int incarnation, Decision.PullPublication pull) {
+        FleetDigest.Changes changes = cores.get(from).publishedState().changesAfter(pull.after());
+        int bytes = FleetCodec.encode(changes).getSerializedSize();
         schedule(
+                new FleetMessage(FleetMessage.Kind.PULL_REPLY, number(from), bytes),
                 host,
                 incarnation,
-                new Event.PublicationPulled(
-                        pull.name(), cores.get(from).publishedState().changesAfter(pull.after())));
+                () -> handle(host, new Event.PublicationPulled(pull.name(), changes)));
+    }
+
+    private static int number(String host) {
+        return Integer.parseInt(host.substring(host.indexOf('-') + 1));
     }
 
     private String hostAt(String address) {
-        for (String host : cores.keySet()) {
-            if (address(Integer.parseInt(host.substring(host.indexOf('-') + 1))).equals(address)) {
-                return host;
-            }
-        }
-        return null;
+        boolean gateway = address.startsWith("10.0.1.") && address.endsWith(":7000");
+        String host = gateway ? "host-" + address.substring("10.0.1.".length(), address.indexOf(':')) : "";
+        return cores.containsKey(host) ? host : null;
     }
 
     /** Returns the number of gateways that know the published items up to a revision. */
@@ -335,8 +358,18 @@
         decisions.clear();
     }
 
+    /** Returns the numbers of the gateways that watch the publisher. */
+    List<Integer> watchers() {
+        return publisher.watchers().stream().map(FleetNetwork::number).toList();
+    }
+
+    /** Returns when each gateway came to use each configuration. */
+    ConfigurationTimes configurationTimes() {
+        return configurationTimes;
+    }
+
     int watchCount() {
-        return watches.size();
+        return publisher.watchCount();
     }
 
     long now() {
@@ -349,16 +382,4 @@
 
         void onDecision(String host, Decision decision);
     }
-
-    private record Watch(String host, int incarnation, long call, long after, long until) {}
-
-    private record Pending(long deliverAt, long order, String host, int incarnation, Event event)
-            implements Comparable<Pending> {
-
-        @Override
-        public int compareTo(Pending other) {
-            int byTime = Long.compare(deliverAt, other.deliverAt);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
 }
