Carry differences of published items, and let any gateway that has them serve them

Cause: a configuration is published whole, 150 KB with the routes that the platform adds. Anything over 800 bytes was pulled, whole and not compressed, by all gateways from the first whose digest named it: the two that read it, then the bridges. A pull of over 0.5 s did not stop the next one.

Differences from the earlier value travel in digests; what does not fit is pulled compressed from a random holder, four replies at a time, and announced to four gateways by each that has it; one pull in flight, a second after 0.6 s.

FleetNetwork answers pulls as the new exchange does.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -163,6 +163,7 @@
                 sink);
         auditPublisherReachability(now, sink);
         publishedState.removeExpiredServers(now, sink);
+        spread.startDuePull(now, sink);
     }
 
     /**
@@ -273,9 +274,14 @@
         spread.applyPulled(event, now, sink);
     }
 
-    /** Records that the pull in flight ended, so that another one may start. */
-    public void finishPull() {
-        spread.finishPull();
+    /**
+     * Records that a pull from another gateway failed.
+     *
+     * @param event the failure
+     * @param now the current time in nanoseconds
+     */
+    public void recordPullFailure(Event.PullFailed event, long now) {
+        spread.recordPullFailure(event.name(), now);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
@@ -1,28 +1,30 @@
 package org.chivecourse.coordination.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
-import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.fleet.DigestComposer.Content;
 import org.chivecourse.coordination.publication.PublishedState;
 import org.chivecourse.state.fleet.FleetDigest;
-import org.chivecourse.state.publication.PublishedItem;
 
 /**
- * Exchanges published items with the other gateways of a fleet. Digests carry small changes. A gateway that is behind
- * pulls what it lacks.
+ * Spreads published items through the fleet.
+ *
+ * <p>Digests carry small changes, and small differences of large items, to all gateways immediately. Of a larger change
+ * only a few gateways are told, which pull it and tell a few others in turn. Regular digests name the revision of their
+ * sender, which repairs what was lost.
  */
 final class PublicationSpread {
 
     /** The source of items that this gateway read itself, for the audit log. */
     static final String PUBLISHER = "publisher";
 
-    /** The time after which a pull of published items no longer prevents another one, in nanoseconds. */
-    private static final long PULL_TIMEOUT_NANOSECONDS = 500_000_000L;
-
     /** The maximum total size of the keys and values of published items that a digest carries, in bytes. */
-    private static final int MAXIMUM_INLINE_CHANGES_BYTES = 800;
+    private static final int MAXIMUM_CARRIED_BYTES = 800;
+
+    /** The number of gateways of the same data centre that are told of items that a digest cannot carry. */
+    private static final int FAN_OUT = 4;
 
     /** The other gateways of the fleet. */
     private final FleetPeers peers;
@@ -36,10 +38,8 @@
     /** Whether this gateway is behind others. */
     private final PublicationLag lag;
 
-    /**
-     * The time at which the pull in flight started, in nanoseconds, or a time in the distant past if none is in flight.
-     */
-    private long pullStartedAt = Long.MIN_VALUE / 2;
+    /** The pulls of this gateway. */
+    private final PublicationPulls pulls;
 
     /**
      * Creates an exchange of published items.
@@ -53,11 +53,12 @@
         this.publishedState = publishedState;
         this.composer = composer;
         lag = new PublicationLag(peers.self().name());
+        pulls = new PublicationPulls(peers);
     }
 
     /**
      * Applies the published items of a digest, forwards new ones from another data centre within this one if this
-     * gateway is the relay, and pulls missing items from the sender.
+     * gateway is the relay, and pulls missing items.
      *
      * @param digest the digest
      * @param local whether the sender is in the same data centre
@@ -73,41 +74,56 @@
         }
         boolean forwards = BridgeElection.INSTANCE.mustForward(peers) && RelayElection.INSTANCE.isRelay(peers, now);
         if (!local && publishedState.revision() > previousRevision && forwards) {
-            Content content = new Content(false, 0, List.of(), List.of(), 0, List.of(), digest.changes());
-            DigestSchedule.send(peers.liveLocal(now), composer.compose(content, now), now, sink);
+            send(peers.liveLocal(now), digest.changes(), now, sink);
         }
-        long peerRevision = digest.publisherStatus().revision();
-        lag.recordPeer(sender, peerRevision, publishedState.revision(), now, sink);
-        boolean senderAhead = peerRevision > publishedState.revision();
-        if (senderAhead && now - pullStartedAt >= PULL_TIMEOUT_NANOSECONDS) {
-            pullStartedAt = now;
+        lag.recordPeer(sender, digest.publisherStatus().revision(), publishedState.revision(), now, sink);
+        startDuePull(now, sink);
+    }
+
+    /**
+     * Starts a pull if this gateway is behind and one is due.
+     *
+     * @param now the current time in nanoseconds
+     * @param sink receives the resulting decisions
+     */
+    void startDuePull(long now, DecisionSink sink) {
+        if (lag.behind() && pulls.startDue(publishedState.revision(), now, sink)) {
             lag.recordPull();
-            sink.decide(new Decision.PullPublication(sender, digest.sender().address(), publishedState.revision()));
         }
     }
 
     /**
-     * Applies published items that were pulled from another gateway.
+     * Applies published items that were pulled from another gateway, and tells a few others of them.
      *
      * @param event the pulled items
      * @param now the current time in nanoseconds
      * @param sink receives the resulting decisions
      */
     void applyPulled(Event.PublicationPulled event, long now, DecisionSink sink) {
-        finishPull();
+        long previousRevision = publishedState.revision();
+        pulls.complete(event.name());
         String way = "pulled from " + event.name();
         publishedState.applyChanges(event.changes(), way, now, sink);
         lag.recordOwn(publishedState.revision(), way, now, sink);
+        if (publishedState.revision() > previousRevision && previousRevision > 0) {
+            send(nextToTell(now), null, now, sink);
+        }
+        startDuePull(now, sink);
     }
 
-    /** Records that the pull in flight ended, so that another one may start. */
-    void finishPull() {
-        pullStartedAt = Long.MIN_VALUE / 2;
+    /**
+     * Records that a pull failed.
+     *
+     * @param name the name of the other gateway's host
+     * @param now the current time in nanoseconds
+     */
+    void recordPullFailure(String name, long now) {
+        pulls.fail(name, now);
     }
 
     /**
-     * Sends a digest about newly read items to all live gateways immediately. It carries the items themselves if they
-     * are small enough; otherwise the recipients pull them. Nothing is sent after the first read of this gateway.
+     * Tells other gateways of newly read items: all live ones if a digest can carry the items, else a few, which pull
+     * them. Nothing is sent after the first read of this gateway.
      *
      * @param previousRevision the revision before the read, zero if nothing was known
      * @param now the current time in nanoseconds
@@ -118,13 +134,32 @@
         if (publishedState.revision() <= previousRevision || previousRevision == 0) {
             return;
         }
-        FleetDigest.Changes changes = publishedState.changesAfter(previousRevision);
-        int bytes = 0;
-        for (PublishedItem item : changes.items()) {
-            bytes += item.key().length() + (item.removed() ? 0 : item.value().length);
+        FleetDigest.Changes changes = publishedState.compactChangesAfter(previousRevision);
+        if (changes.after() > 0 && changes.bytes() <= MAXIMUM_CARRIED_BYTES) {
+            send(peers.live(now), changes, now, sink);
+            return;
         }
-        boolean fits = bytes <= MAXIMUM_INLINE_CHANGES_BYTES && changes.after() > 0;
-        Content content = new Content(false, 0, List.of(), List.of(), 0, List.of(), fits ? changes : null);
-        DigestSchedule.send(peers.live(now), composer.compose(content, now), now, sink);
+        List<FleetPeer> told = new ArrayList<>(nextToTell(now));
+        told.addAll(RelayElection.INSTANCE.recipients(peers, now));
+        send(told, null, now, sink);
+    }
+
+    /** Returns a few live gateways of this data centre that are not known to have the items of this one. */
+    private List<FleetPeer> nextToTell(long now) {
+        List<FleetPeer> behind = peers.liveLocal(now).stream()
+                .filter(peer -> peer.latestDigest().publisherStatus().revision() < publishedState.revision())
+                .toList();
+        int start = PublicationWatcherElection.rank(peers.self().name() + ' ' + publishedState.revision());
+        List<FleetPeer> chosen = new ArrayList<>();
+        for (int count = 0; count < Math.min(FAN_OUT, behind.size()); count++) {
+            chosen.add(behind.get(Math.floorMod(start + count, behind.size())));
+        }
+        return chosen;
+    }
+
+    /** Sends a digest with the status of this gateway and changes, {@code null} for none. */
+    private void send(List<FleetPeer> recipients, FleetDigest.Changes changes, long now, DecisionSink sink) {
+        Content content = new Content(false, 0, List.of(), List.of(), 0, List.of(), changes);
+        DigestSchedule.send(recipients, composer.compose(content, now), now, sink);
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -205,9 +205,9 @@
             calls.keyedCalls().handleKeyQuestion(asked, now, sink);
         } else if (event instanceof Event.KeyReplied replied) {
             calls.keyedCalls().handleKeyReply(replied, now, sink);
-        } else if (event instanceof Event.PullFailed) {
+        } else if (event instanceof Event.PullFailed failed) {
             peerExchange.finishPull();
-            fleetExchange.finishPull();
+            fleetExchange.recordPullFailure(failed, now);
         } else if (event instanceof Event.StopRequested) {
             peerExchange.markStopping();
             fleetExchange.announceStopping(now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
@@ -1,10 +1,12 @@
 package org.chivecourse.coordination.publication;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.registry.ServerRegistry;
 import org.chivecourse.state.fleet.FleetDigest;
+import org.chivecourse.state.publication.ItemDifference;
 import org.chivecourse.state.publication.PublicationTable;
 import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.RegisteredServer;
@@ -70,14 +72,20 @@
      * @param source the origin of the items, for the audit log: the publisher or the name of a gateway
      * @param now the current time in nanoseconds
      * @param sink receives the resulting decisions
-     * @return {@code false} if changes before them are missing, in which case nothing is applied
+     * @return {@code false} if changes before them, or the earlier value of an item, are missing, in which case nothing
+     *     is applied
      */
     public boolean applyChanges(FleetDigest.Changes changes, String source, long now, DecisionSink sink) {
         if (changes.after() == 0) {
             replace(changes.items(), changes.revision(), source, now, sink);
             return true;
         }
-        List<PublishedItem> changed = table.applyChanges(changes.items(), changes.after(), changes.revision());
+        List<PublishedItem> restored = table.restore(changes.differences());
+        if (restored == null) {
+            return false;
+        }
+        restored.addAll(changes.items());
+        List<PublishedItem> changed = table.applyChanges(restored, changes.after(), changes.revision());
         if (changed == null) {
             return false;
         }
@@ -237,6 +245,31 @@
                 : new FleetDigest.Changes(after, table.revision(), changes);
     }
 
+    /**
+     * Returns the changes after a revision for another gateway, with differences in place of large values whose earlier
+     * version the other gateway knows.
+     *
+     * @param after the revision
+     * @return the changes, or all items if the changes are not available
+     */
+    public FleetDigest.Changes compactChangesAfter(long after) {
+        FleetDigest.Changes changes = changesAfter(after);
+        if (changes.after() == 0) {
+            return changes;
+        }
+        List<PublishedItem> whole = new ArrayList<>();
+        List<ItemDifference> differences = new ArrayList<>();
+        for (PublishedItem item : changes.items()) {
+            ItemDifference difference = table.difference(item, after);
+            if (difference == null) {
+                whole.add(item);
+            } else {
+                differences.add(difference);
+            }
+        }
+        return new FleetDigest.Changes(changes.after(), changes.revision(), whole, differences);
+    }
+
     /**
      * Returns the revision up to which all items are known.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/Deflation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/Deflation.java
@@ -7,7 +7,7 @@
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
 
-/** Compresses and decompresses the text of configurations that gateways exchange, in the zlib format. */
+/** Compresses and decompresses configurations and published items that gateways exchange, in the zlib format. */
 public final class Deflation {
 
     /** This class has only static methods. */
@@ -20,11 +20,21 @@
      * @return the compressed text
      */
     public static byte[] deflate(String text) {
+        return deflate(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Compresses bytes.
+     *
+     * @param bytes the bytes
+     * @return the compressed bytes
+     */
+    public static byte[] deflate(byte[] bytes) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (DeflaterOutputStream deflater = new DeflaterOutputStream(out)) {
-            deflater.write(text.getBytes(StandardCharsets.UTF_8));
+            deflater.write(bytes);
         } catch (IOException exception) {
-            throw new IllegalStateException("cannot compress a text in memory", exception);
+            throw new IllegalStateException("cannot compress in memory", exception);
         }
         return out.toByteArray();
     }
@@ -39,14 +49,26 @@
      * @throws PeerMessageException if the compressed text is malformed or the text is larger than {@code maximumBytes}
      */
     public static String inflate(byte[] deflated, int maximumBytes) throws PeerMessageException {
+        return new String(inflateBytes(deflated, maximumBytes), StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Decompresses bytes. Decompression stops at the given size, so that a small message cannot exhaust the memory.
+     *
+     * @param deflated the compressed bytes
+     * @param maximumBytes the maximum size of the decompressed bytes
+     * @return the bytes
+     * @throws PeerMessageException if the compressed bytes are malformed or there are more than {@code maximumBytes}
+     */
+    public static byte[] inflateBytes(byte[] deflated, int maximumBytes) throws PeerMessageException {
         try (InflaterInputStream inflater = new InflaterInputStream(new ByteArrayInputStream(deflated))) {
-            byte[] text = inflater.readNBytes(maximumBytes + 1);
-            if (text.length > maximumBytes) {
-                throw new PeerMessageException("text is larger than " + maximumBytes + " bytes");
+            byte[] bytes = inflater.readNBytes(maximumBytes + 1);
+            if (bytes.length > maximumBytes) {
+                throw new PeerMessageException("content is larger than " + maximumBytes + " bytes");
             }
-            return new String(text, StandardCharsets.UTF_8);
+            return bytes;
         } catch (IOException exception) {
-            throw new PeerMessageException("compressed text is malformed: " + exception.getMessage());
+            throw new PeerMessageException("compressed content is malformed: " + exception.getMessage());
         }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -1,6 +1,7 @@
 package org.chivecourse.protocol.peer;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 import org.chivecourse.protocol.peer.generated.ConvictionMessage;
 import org.chivecourse.protocol.peer.generated.CrashMessage;
 import org.chivecourse.protocol.peer.generated.FleetDigestMessage;
+import org.chivecourse.protocol.peer.generated.ItemDifferenceMessage;
 import org.chivecourse.protocol.peer.generated.MemberMessage;
 import org.chivecourse.protocol.peer.generated.PublicationReply;
 import org.chivecourse.protocol.peer.generated.PublishedItemMessage;
@@ -21,6 +23,7 @@
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
+import org.chivecourse.state.publication.ItemDifference;
 import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.LoadReport;
 import org.chivecourse.state.server.RequestLimit;
@@ -102,8 +105,10 @@
                         .setFingerprint(fingerprint)
                         .setSeconds(seconds)));
         digest.limitReports().forEach(report -> message.addRequestLimits(encode(report, now)));
-        if (digest.changes() != null) {
+        if (digest.changes() != null && digest.changes().differences().isEmpty()) {
             message.setChanges(encode(digest.changes()));
+        } else if (digest.changes() != null) {
+            message.setCompactChanges(encode(digest.changes()));
         }
         return message.build();
     }
@@ -216,6 +221,14 @@
             }
             message.addItems(itemMessage);
         }
+        for (ItemDifference difference : changes.differences()) {
+            message.addDifferences(ItemDifferenceMessage.newBuilder()
+                    .setKey(difference.key())
+                    .setRevision(difference.revision())
+                    .setBaseRevision(difference.baseRevision())
+                    .setDifference(ByteString.copyFrom(difference.difference()))
+                    .setChecksum(difference.checksum()));
+        }
         return message.build();
     }
 
@@ -276,13 +289,27 @@
                 crashes,
                 answeredRequests,
                 blockedRequests,
-                message.hasChanges() ? decode(message.getChanges()) : null,
+                decodeChanges(message),
                 message.getFleetSize(),
                 message.getDataCentreSize(),
                 limitReports,
                 decodeForwardingAddress(message));
     }
 
+    /**
+     * Decodes the changes of published items that a digest carries.
+     *
+     * @param message the digest
+     * @return the changes, {@code null} if there are none
+     * @throws PeerMessageException if they are invalid
+     */
+    private static FleetDigest.Changes decodeChanges(FleetDigestMessage message) throws PeerMessageException {
+        if (message.hasCompactChanges()) {
+            return decode(message.getCompactChanges());
+        }
+        return message.hasChanges() ? decode(message.getChanges()) : null;
+    }
+
     /**
      * Decodes a crash.
      *
@@ -363,7 +390,31 @@
             byte[] value = item.getRemoved() ? null : item.getValue().toByteArray();
             items.add(new PublishedItem(checkText(item.getKey()), item.getRevision(), value));
         }
-        return new FleetDigest.Changes(message.getAfter(), message.getRevision(), items);
+        List<ItemDifference> differences = new ArrayList<>();
+        for (ItemDifferenceMessage difference : message.getDifferencesList()) {
+            differences.add(new ItemDifference(
+                    checkText(difference.getKey()),
+                    difference.getRevision(),
+                    difference.getBaseRevision(),
+                    difference.getDifference().toByteArray(),
+                    difference.getChecksum()));
+        }
+        return new FleetDigest.Changes(message.getAfter(), message.getRevision(), items, differences);
+    }
+
+    /**
+     * Decodes published items and removals from bytes.
+     *
+     * @param message the encoded message
+     * @return the changes
+     * @throws PeerMessageException if the message is malformed or invalid
+     */
+    public static FleetDigest.Changes decodePublication(byte[] message) throws PeerMessageException {
+        try {
+            return decode(PublicationReply.parseFrom(message));
+        } catch (InvalidProtocolBufferException exception) {
+            throw new PeerMessageException("published items are malformed: " + exception.getMessage());
+        }
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 import java.util.Map;
+import org.chivecourse.state.publication.ItemDifference;
 import org.chivecourse.state.publication.PublishedItem;
 
 /**
@@ -78,12 +79,41 @@
      * @param after the revision after which the changes are complete, zero if they are all published items
      * @param revision the revision up to which the changes are complete
      * @param items the changed items and removals
+     * @param differences the changed items whose earlier value the recipient knows
      */
-    public record Changes(long after, long revision, List<PublishedItem> items) {
+    public record Changes(
+            long after,
+            long revision,
+            List<PublishedItem> items,
+            @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ItemDifference> differences) {
 
-        /** Creates changes with a copy of the items. */
+        /** Creates changes with copies of the lists. */
         public Changes {
             items = List.copyOf(items);
+            differences = differences == null ? List.of() : List.copyOf(differences);
+        }
+
+        /**
+         * Creates changes without differences.
+         *
+         * @param after the revision after which the changes are complete, zero if they are all published items
+         * @param revision the revision up to which the changes are complete
+         * @param items the changed items and removals
+         */
+        public Changes(long after, long revision, List<PublishedItem> items) {
+            this(after, revision, items, List.of());
+        }
+
+        /** Returns the total size of the keys, values and differences, in bytes. */
+        public int bytes() {
+            int bytes = 0;
+            for (PublishedItem item : items) {
+                bytes += item.key().length() + (item.removed() ? 0 : item.value().length);
+            }
+            for (ItemDifference difference : differences) {
+                bytes += difference.key().length() + difference.difference().length;
+            }
+            return bytes;
         }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/state/publication/PublicationTable.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/publication/PublicationTable.java
@@ -22,6 +22,9 @@
     /** The items and removals by key, in the order of their last change. */
     private final Map<String, PublishedItem> items = new LinkedHashMap<>();
 
+    /** The values before the last change of items. */
+    private final EarlierValues earlierValues = new EarlierValues();
+
     /** The revision up to which the table is complete. */
     private long revision;
 
@@ -91,6 +94,7 @@
             return;
         }
         items.remove(item.key());
+        earlierValues.record(known, item);
         removals -= known != null && known.removed() ? 1 : 0;
         items.put(item.key(), item);
         removals += item.removed() ? 1 : 0;
@@ -137,6 +141,35 @@
         return changes;
     }
 
+    /**
+     * Returns an item as its difference from the value that a host has.
+     *
+     * @param item the present item
+     * @param knownRevision the revision up to which the host knows all items
+     * @return the difference, {@code null} if the host does not have the earlier value or little would be saved
+     */
+    public ItemDifference difference(PublishedItem item, long knownRevision) {
+        return earlierValues.difference(item, knownRevision);
+    }
+
+    /**
+     * Returns the items that differences describe.
+     *
+     * @param differences the differences
+     * @return the items, {@code null} if the earlier value of one of them is not known
+     */
+    public List<PublishedItem> restore(Collection<ItemDifference> differences) {
+        List<PublishedItem> restored = new ArrayList<>();
+        for (ItemDifference difference : differences) {
+            PublishedItem item = EarlierValues.restore(items.get(difference.key()), difference);
+            if (item == null) {
+                return null;
+            }
+            restored.add(item);
+        }
+        return restored;
+    }
+
     /** Returns the published items, without removals. */
     public List<PublishedItem> publishedItems() {
         List<PublishedItem> published = new ArrayList<>();
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationTransfer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationTransfer.java
@@ -33,6 +33,7 @@
 import org.chivecourse.protocol.peer.generated.ConfigurationReply;
 import org.chivecourse.protocol.peer.generated.ConfigurationRequest;
 import org.chivecourse.protocol.platform.PlatformProtocol;
+import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.transport.driver.CoreDriver;
 import org.chivecourse.transport.http.BackendConnections;
 
@@ -51,6 +52,9 @@
      */
     private static final int MAXIMUM_REPLY_BYTES = PlatformProtocol.MAXIMUM_VALUE_BYTES + 64 * 1024;
 
+    /** The maximum size of published items after they are decompressed. */
+    private static final int MAXIMUM_PUBLICATION_BYTES = 8 * 1024 * 1024;
+
     /** The size of the field with the length of a message that precedes the message. */
     private static final int LENGTH_FIELD_BYTES = 4;
 
@@ -69,6 +73,9 @@
     /** The metrics of exchanged messages. */
     private final PeerMetrics metrics;
 
+    /** Composes replies with published items. */
+    private final PublicationReplies publicationReplies;
+
     /** The listening channel, {@code null} before the start. */
     private volatile Channel serverChannel;
 
@@ -83,6 +90,7 @@
         this.group = group;
         this.driver = driver;
         this.metrics = metrics;
+        publicationReplies = new PublicationReplies(driver);
     }
 
     /**
@@ -153,13 +161,33 @@
         ConfigurationRequest request = ConfigurationRequest.newBuilder()
                 .setVersion(PeerCodec.VERSION)
                 .setAsksPublication(true)
+                .setAcceptsCompact(true)
                 .setPublicationAfter(pull.after())
                 .build();
         fetch(
                 pull.name(),
                 pull.address(),
                 request,
-                reply -> new Event.PublicationPulled(pull.name(), FleetCodec.decode(reply.getPublication())));
+                reply -> new Event.PublicationPulled(pull.name(), readPublication(reply)));
+    }
+
+    /**
+     * Reads the published items in a reply.
+     *
+     * @param reply the reply
+     * @return the items
+     * @throws PeerMessageException if the reply is malformed, or the other gateway sends as many as it may
+     */
+    private static FleetDigest.Changes readPublication(ConfigurationReply reply) throws PeerMessageException {
+        if (reply.getBusy()) {
+            throw new PeerMessageException("the other gateway is busy");
+        }
+        if (reply.getDeflatedPublication().isEmpty()) {
+            return FleetCodec.decode(reply.getPublication());
+        }
+        byte[] publication =
+                Deflation.inflateBytes(reply.getDeflatedPublication().toByteArray(), MAXIMUM_PUBLICATION_BYTES);
+        return FleetCodec.decodePublication(publication);
     }
 
     /**
@@ -235,7 +263,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, ConfigurationRequest request) {
             ConfigurationReply reply = request.getAsksPublication()
-                    ? publishedItemsReply(request.getPublicationAfter())
+                    ? publishedItemsReply(request, context.channel())
                     : configurationReply(HexFormat.of()
                             .formatHex(request.getConfigurationDigest().toByteArray()));
             metrics.recordConfigurationSent(reply.getSerializedSize());
@@ -243,16 +271,17 @@
         }
 
         /**
-         * Returns a reply with the published items after a revision.
+         * Returns a reply with the published items after a revision, of which a negative one counts as zero.
          *
-         * @param after the revision, of which a negative value counts as zero
+         * @param request the request
+         * @param channel the connection of the request
          * @return the reply
          */
-        private ConfigurationReply publishedItemsReply(long after) {
-            return ConfigurationReply.newBuilder()
-                    .setPublication(FleetCodec.encode(
-                            driver.read(core -> core.publishedState().changesAfter(Math.max(0, after)))))
-                    .build();
+        private ConfigurationReply publishedItemsReply(ConfigurationRequest request, Channel channel) {
+            long after = Math.max(0, request.getPublicationAfter());
+            return request.getAcceptsCompact()
+                    ? publicationReplies.compactReply(after, channel)
+                    : publicationReplies.plainReply(after);
         }
 
         /**
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PublicationReplies.java
@@ -0,0 +1,104 @@
+package org.chivecourse.transport.peer;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.chivecourse.protocol.peer.Deflation;
+import org.chivecourse.protocol.peer.FleetCodec;
+import org.chivecourse.protocol.peer.generated.ConfigurationReply;
+import org.chivecourse.state.fleet.FleetDigest;
+import org.chivecourse.transport.driver.CoreDriver;
+
+/**
+ * Composes replies with published items to other gateways, a few at a time, so that they do not fill the link of this
+ * host. Compressed replies are kept, since many gateways ask for the same items.
+ */
+final class PublicationReplies {
+
+    /** The maximum number of connections on which replies are being sent. */
+    private static final int MAXIMUM_CONCURRENT_REPLIES = 4;
+
+    /** The maximum number of compressed replies that are kept. */
+    private static final int MAXIMUM_KEPT_REPLIES = 4;
+
+    /** The driver of the decision core. */
+    private final CoreDriver driver;
+
+    /** The number of connections on which replies are being sent. */
+    private final AtomicInteger concurrentReplies = new AtomicInteger();
+
+    /** The latest compressed replies by the revisions that they connect, oldest first. */
+    private final Map<Range, ConfigurationReply> kept = new LinkedHashMap<>();
+
+    /**
+     * Creates a composer of replies.
+     *
+     * @param driver the driver of the decision core
+     */
+    PublicationReplies(CoreDriver driver) {
+        this.driver = driver;
+    }
+
+    /**
+     * Returns the reply to a request, which says that this gateway is busy if it sends as many as it may.
+     *
+     * @param after the revision after which items are requested
+     * @param channel the connection of the request, on which the reply is sent until it is closed
+     * @return the reply
+     */
+    ConfigurationReply compactReply(long after, Channel channel) {
+        if (concurrentReplies.incrementAndGet() > MAXIMUM_CONCURRENT_REPLIES) {
+            concurrentReplies.decrementAndGet();
+            return ConfigurationReply.newBuilder().setBusy(true).build();
+        }
+        channel.closeFuture().addListener(closed -> concurrentReplies.decrementAndGet());
+        return keptReply(after);
+    }
+
+    /**
+     * Returns a reply that is not compressed, for gateways that do not accept others.
+     *
+     * @param after the revision after which items are requested
+     * @return the reply
+     */
+    ConfigurationReply plainReply(long after) {
+        return ConfigurationReply.newBuilder()
+                .setPublication(FleetCodec.encode(
+                        driver.read(core -> core.publishedState().changesAfter(after))))
+                .build();
+    }
+
+    /** Returns the compressed reply for a revision, which is composed unless it is kept. */
+    private synchronized ConfigurationReply keptReply(long after) {
+        long revision = driver.read(core -> core.publishedState().revision());
+        ConfigurationReply reply = kept.get(new Range(after, revision));
+        return reply != null ? reply : composeReply(after);
+    }
+
+    /** Composes and keeps the compressed reply for a revision. */
+    private ConfigurationReply composeReply(long after) {
+        FleetDigest.Changes changes = driver.read(core -> core.publishedState().compactChangesAfter(after));
+        byte[] deflated = Deflation.deflate(FleetCodec.encode(changes).toByteArray());
+        ConfigurationReply reply = ConfigurationReply.newBuilder()
+                .setDeflatedPublication(ByteString.copyFrom(deflated))
+                .build();
+        Iterator<Range> oldest = kept.keySet().iterator();
+        if (kept.size() >= MAXIMUM_KEPT_REPLIES) {
+            oldest.next();
+            oldest.remove();
+        }
+        kept.put(new Range(after, changes.revision()), reply);
+        return reply;
+    }
+
+    /**
+     * The revisions between which a reply holds all changes.
+     *
+     * @param after the revision after which they follow
+     * @param revision the revision up to which they are complete
+     */
+    private record Range(long after, long revision) {}
+}
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/ConfigurationSpreadTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/ConfigurationSpreadTest.java
@@ -86,7 +86,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void usesLargeChangeInTime() {
             assertSpreads(SpreadFleet.GROWN, LARGE, SpreadTrouble.NONE);
         }
@@ -97,7 +96,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void usesLargeChangeInTimeWhileLinksAreTaken() {
             assertSpreads(SpreadFleet.GROWN, LARGE, SpreadTrouble.LINKS_TAKEN);
         }
@@ -113,7 +111,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void usesLargeChangeInTimeWhileDigestsAreLost() {
             assertSpreads(SpreadFleet.GROWN, LARGE, SpreadTrouble.DIGESTS_LOST);
         }
@@ -124,7 +121,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void usesLargeChangeInTimeWhileWatchersAreSlow() {
             assertSpreads(SpreadFleet.GROWN, LARGE, SpreadTrouble.SLOW_WATCHERS);
         }
@@ -135,7 +131,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void usesLargeChangeInTimeWhenWatcherEnds() {
             assertSpreads(SpreadFleet.GROWN, LARGE, SpreadTrouble.WATCHER_ENDS);
         }
@@ -150,7 +145,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void usesLargeChangeInTime() {
             assertSpreads(SpreadFleet.LARGE, LARGE, SpreadTrouble.NONE);
         }
@@ -197,7 +191,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void ofLargeConfigurationReachGrownFleetInTime() {
             assertThat(countLateUses(SpreadFleet.GROWN, LARGE), equalTo(0));
         }
@@ -245,31 +238,26 @@
         }
 
         @Test
-        @Tag("known-red")
         void ofSmallChangeIsBoundedInSmallFleet() {
             assertBytesBounded(SpreadFleet.SMALL, SMALL);
         }
 
         @Test
-        @Tag("known-red")
         void ofLargeChangeIsBoundedInSmallFleet() {
             assertBytesBounded(SpreadFleet.SMALL, LARGE);
         }
 
         @Test
-        @Tag("known-red")
         void ofSmallChangeIsBoundedInGrownFleet() {
             assertBytesBounded(SpreadFleet.GROWN, SMALL);
         }
 
         @Test
-        @Tag("known-red")
         void ofLargeChangeIsBoundedInGrownFleet() {
             assertBytesBounded(SpreadFleet.GROWN, LARGE);
         }
 
         @Test
-        @Tag("known-red")
         void ofSmallChangeIsBoundedInLargeFleet() {
             assertBytesBounded(SpreadFleet.LARGE, SMALL);
         }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -32,6 +32,13 @@
 
     private final Map<String, HostCore> cores = new LinkedHashMap<>();
 
+    /** The number of replies to pulls that a gateway sends at the same time. */
+    private static final int MAXIMUM_CONCURRENT_REPLIES = 4;
+
+    private static final int BUSY_REPLY_BYTES = 8;
+
+    private final Map<String, Integer> repliesInFlight = new HashMap<>();
+
     private final Map<String, Integer> incarnations = new HashMap<>();
 
     private final Set<String> down = new HashSet<>();
@@ -310,13 +317,21 @@
     }
 
     private void answerPull(String from, String host, int incarnation, Decision.PullPublication pull) {
-        FleetDigest.Changes changes = cores.get(from).publishedState().changesAfter(pull.after());
-        int bytes = FleetCodec.encode(changes).getSerializedSize();
-        schedule(
-                new FleetMessage(FleetMessage.Kind.PULL_REPLY, number(from), bytes),
-                host,
-                incarnation,
-                () -> handle(host, new Event.PublicationPulled(pull.name(), changes)));
+        if (repliesInFlight.merge(from, 1, Integer::sum) > MAXIMUM_CONCURRENT_REPLIES) {
+            reply(from, host, incarnation, BUSY_REPLY_BYTES, new Event.PullFailed(pull.name(), "busy"));
+            return;
+        }
+        FleetDigest.Changes changes = cores.get(from).publishedState().compactChangesAfter(pull.after());
+        int bytes = CompressedSize.of(FleetCodec.encode(changes).toByteArray());
+        reply(from, host, incarnation, bytes, new Event.PublicationPulled(pull.name(), changes));
+    }
+
+    private void reply(String from, String host, int incarnation, int bytes, Event event) {
+        FleetMessage message = new FleetMessage(FleetMessage.Kind.PULL_REPLY, number(from), bytes);
+        schedule(message, host, incarnation, () -> {
+            repliesInFlight.merge(from, -1, Integer::sum);
+            handle(host, event);
+        });
     }
 
     private static int number(String host) {
