Refuse unknown routes with 503 while a newer configuration is on its way

A 404 is final for a caller; it does not come again.

Cause: a route that is not in the configuration in force was refused for good, though the gateway knew from digests that others have a higher revision. Which revisions hold a configuration a digest does not say.

Change: while a gateway is known to be behind, for at most 5 s, it refuses such a request as not run, with a time to return. Weighed: to let the caller wait (for an unknown time), to forward (to whom is not known), to refuse all requests (most revisions are of backend servers).

Before: OutdatedConfigurationTest.tellsCallersOfUnknownRouteToReturnWhileNewerConfigurationIsRead got NO_SERVICE (run with the change taken out); after, OUTDATED_CONFIGURATION with a time to return. Its two other tests bound the change: 404 stays where nothing newer is known, and after 5 s.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.chivecourse.configuration.model.CallerRoute;
+import org.chivecourse.coordination.configuration.ConfigurationStatus;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.event.Arrival;
@@ -106,13 +107,14 @@
     /**
      * Accepts or refuses a request that arrived, and starts its call.
      *
-     * @param serving whether the host has a configuration and may serve
+     * @param status what this gateway knows of the configuration
      */
-    public void handleArrival(Event.CallArrived event, boolean serving, long now, DecisionSink sink) {
+    public void handleArrival(Event.CallArrived event, ConfigurationStatus status, long now, DecisionSink sink) {
         Arrival arrival = event.arrival();
+        boolean serving = status != ConfigurationStatus.NONE;
         CallerRoute route = services.route(arrival);
         Optional<ServiceState> found = serving ? services.serviceFor(arrival, route) : Optional.empty();
-        Reason refusal = serving ? refusalReason(arrival, found.orElse(null), now) : Reason.NO_CONFIGURATION;
+        Reason refusal = found.isPresent() ? refusalReason(arrival, found.orElseThrow(), now) : status.unknownRoute();
         if (refusal != null) {
             finalAnswers.refuse(event.call(), refusal, arrival, found.orElse(null), sink);
             return;
@@ -137,12 +139,9 @@
     /**
      * Returns why a request is refused on arrival, or {@code null} if it is accepted.
      *
-     * @param service the service of the request, {@code null} if there is none
+     * @param service the service of the request
      */
     private Reason refusalReason(Arrival arrival, ServiceState service, long now) {
-        if (service == null) {
-            return Reason.NO_SERVICE;
-        }
         if (poisonRequests.refuses(arrival.fingerprint(), now)) {
             return Reason.CONVICTED;
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
@@ -1,5 +1,7 @@
 package org.chivecourse.coordination.call;
 
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
@@ -15,6 +17,10 @@
 /** Ends calls and refuses requests with answers that the gateway itself creates. */
 final class FinalAnswers {
 
+    /** The reasons to refuse a request on arrival after which it may be served a little later. */
+    private static final Set<Reason> RETRYABLE =
+            EnumSet.of(Reason.QUEUE_FULL, Reason.NO_CONFIGURATION, Reason.OUTDATED_CONFIGURATION);
+
     /** The services of the configuration in force. */
     private final ServiceRegistry services;
 
@@ -91,7 +97,7 @@
      */
     void refuse(long call, Reason reason, Arrival arrival, ServiceState service, DecisionSink sink) {
         Outcome outcome = mayHaveRunElsewhere(arrival.key()) ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-        boolean callerMayRetry = reason == Reason.QUEUE_FULL || reason == Reason.NO_CONFIGURATION;
+        boolean callerMayRetry = RETRYABLE.contains(reason);
         long retryAfterMilliseconds = callerMayRetry ? retryAfterDelay.milliseconds(arrival, service) : 0;
         String explanation = "revision " + services.configuration().revision();
         sink.decide(
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -23,6 +23,9 @@
     /** No configuration is in force yet. */
     NO_CONFIGURATION(503, "no configuration is in force yet"),
 
+    /** No service matches the path, but other gateways have a newer configuration, which may have one. */
+    OUTDATED_CONFIGURATION(503, "no service of this path is known, but a newer configuration is being read"),
+
     /** The gateway is stopping and accepts no further requests. */
     STOPPING(503, "the gateway is stopping"),
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -376,6 +376,16 @@
         return false;
     }
 
+    /**
+     * Returns whether other gateways have newer published items, which this one is about to receive.
+     *
+     * @param now the current time in nanoseconds
+     * @return {@code true} if it fell behind a short time ago
+     */
+    public boolean outdated(long now) {
+        return spread.outdated(now);
+    }
+
     /** Returns the other gateways of the fleet. */
     public FleetPeers peers() {
         return peers;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationLag.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationLag.java
@@ -84,6 +84,11 @@
         return behind;
     }
 
+    /** Returns the time at which this gateway learnt that it is behind, in nanoseconds. */
+    long since() {
+        return since;
+    }
+
     /**
      * Writes an audit record.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
@@ -26,6 +26,9 @@
     /** The number of gateways of the same data centre that are told of items that a digest cannot carry. */
     private static final int FAN_OUT = 4;
 
+    /** The time for which a gateway that knows that it is behind counts as about to catch up, in nanoseconds. */
+    private static final long CATCH_UP_NANOSECONDS = 5_000_000_000L;
+
     /** The other gateways of the fleet. */
     private final FleetPeers peers;
 
@@ -162,4 +165,14 @@
         Content content = new Content(false, 0, List.of(), List.of(), 0, List.of(), changes);
         DigestSchedule.send(recipients, composer.compose(content, now), now, sink);
     }
+
+    /**
+     * Returns whether this gateway lacks items that others have, and is about to receive them.
+     *
+     * @param now the current time in nanoseconds
+     * @return {@code true} if it fell behind a short time ago
+     */
+    boolean outdated(long now) {
+        return lag.behind() && now - lag.since() < CATCH_UP_NANOSECONDS;
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -6,6 +6,7 @@
 import org.chivecourse.coordination.call.CallCoordinator;
 import org.chivecourse.coordination.call.ServiceRegistry;
 import org.chivecourse.coordination.configuration.ConfigurationRegistry;
+import org.chivecourse.coordination.configuration.ConfigurationStatus;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
@@ -118,7 +119,7 @@
     /** Applies an event. */
     private void apply(Event event, long now, DecisionSink sink) {
         if (event instanceof Event.CallArrived arrived) {
-            calls.handleArrival(arrived, serves(now), now, sink);
+            calls.handleArrival(arrived, configurationStatus(now), now, sink);
         } else if (event instanceof Event.AttemptReady ready) {
             calls.attemptOutcomes().handleReady(ready.attempt(), now, sink);
         } else if (event instanceof Event.AnswerStarted started) {
@@ -325,6 +326,14 @@
         return serving;
     }
 
+    /** Returns what this gateway knows of the configuration by which it handles requests. */
+    private ConfigurationStatus configurationStatus(long now) {
+        if (!serves(now)) {
+            return ConfigurationStatus.NONE;
+        }
+        return fleetExchange.outdated(now) ? ConfigurationStatus.OUTDATED : ConfigurationStatus.CURRENT;
+    }
+
     /** Returns the requests that are suspected or blocked because backend servers crashed on them. */
     public PoisonRequests poisonRequests() {
         return calls.poisonRequests();
