Send digests of an idle data centre no more often than those of a busy one

Cause: the interval of local digests grows with the data centre while observations are pending, but was a fixed 0.2 s while none are, so that a gateway with 34 others in its data centre sent 170 digests a second when idle and 100 when busy.

Change: the longer one of the two intervals.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -23,7 +23,7 @@
     /** The maximum number of local peers for which the minimum interval is used. */
     private static final int MAXIMUM_PEERS_AT_MINIMUM_INTERVAL = 4;
 
-    /** The interval between two digests to local peers while no observation is pending, in nanoseconds. */
+    /** The shortest interval between two digests to local peers while no observation is pending, in nanoseconds. */
     static final long IDLE_LOCAL_DIGEST_INTERVAL_NANOSECONDS = 200_000_000L;
 
     /** The interval at which crashes and answers to suspected requests are repeated to local peers, in nanoseconds. */
@@ -175,7 +175,7 @@
     private void sendLocalDigests(long now, DecisionSink sink) {
         long interval = observations.hasLocal() || requestLimits.hasChanged(now)
                 ? peers.localDigestIntervalNanoseconds()
-                : IDLE_LOCAL_DIGEST_INTERVAL_NANOSECONDS;
+                : Math.max(IDLE_LOCAL_DIGEST_INTERVAL_NANOSECONDS, peers.localDigestIntervalNanoseconds());
         if (now - lastLocalDigestAt < interval) {
             return;
         }
