Parse an address by one rule, where it is checked and where it is used

What callers saw (gateway beside a stand-in of the store, OddEntryTest): after an entry like "10.128.0.999:8080", "[::::]:8080", "a..b:1" or "-:1" requests were refused with 503, "no connection to a backend server could be used", though a backend server that was announced beside it answers.

Cause: the entry's address passed the pattern of the check, and the transport read it by another rule (a URI), which throws. The exception ended the decision that applies all backend servers: those after it in no particular order got no connections, the other decisions of the event were lost, and each later change of the list threw again for as long as the entry stood.

Change: Address.parse is the only way from a text to a socket address. The check is that it succeeds, so that what passes can be used.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -3,11 +3,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.ssl.SslContext;
-import io.netty.util.NetUtil;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.URI;
-import java.net.UnknownHostException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.chivecourse.configuration.model.BackendServer;
+import org.chivecourse.configuration.rule.Address;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -123,18 +120,10 @@
      *
      * @param address the host name or IP address with the port
      * @return the socket address
+     * @throws IllegalArgumentException if the text is not an address
      */
     public static InetSocketAddress socketAddress(String address) {
-        InetSocketAddress unresolved = unresolvedAddress(address);
-        byte[] octets = NetUtil.createByteArrayFromIpAddressString(unresolved.getHostString());
-        if (octets == null) {
-            return unresolved;
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByAddress(octets), unresolved.getPort());
-        } catch (UnknownHostException exception) {
-            throw new IllegalStateException("invalid IP address of " + octets.length + " octets", exception);
-        }
+        return parse(address).socketAddress();
     }
 
     /**
@@ -142,10 +131,22 @@
      *
      * @param address the host name or IP address with the port
      * @return the unresolved socket address
+     * @throws IllegalArgumentException if the text is not an address
      */
     public static InetSocketAddress unresolvedAddress(String address) {
-        URI uri = URI.create("tcp://" + address);
-        return InetSocketAddress.createUnresolved(uri.getHost(), uri.getPort());
+        return parse(address).unresolvedAddress();
+    }
+
+    /**
+     * Returns the address that a text states, which the boundary that received the text has checked by the same rule.
+     *
+     * @param text the text
+     * @return the address
+     * @throws IllegalArgumentException if the text is not an address
+     */
+    private static Address parse(String text) {
+        return Address.parse(text)
+                .orElseThrow(() -> new IllegalArgumentException("\"" + text + "\" is not an address"));
     }
 
     /**
