Perform the other decisions of an event when one fails

What callers would see: whatever fails while one decision is performed takes with it the decisions after it in the same event, among them answers and refusals of other calls, digests and the next call to the publisher, which is then missing until its timeout (3.6 s). The exception also reached whoever had passed in the event.

Cause: CoreDriver performed the decisions of an event in one loop and caught nothing.

Evidence: performsOtherDecisionsOfEventWhenOneFails failed for each of three kinds of decisions, and passes now.

Change: each decision is performed by itself. A failure is logged with the kind of the decision; the core learns of what did not happen by its timeouts, as after a loss.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/driver/CoreDriver.java
@@ -10,10 +10,14 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.protocol.trace.TraceRecorder;
+import org.jboss.logging.Logger;
 
 /** Passes events to a decision core, one at a time, and its decisions to a sink that performs them. */
 public final class CoreDriver {
 
+    /** Logs decisions that could not be performed. */
+    private static final Logger LOGGER = Logger.getLogger(CoreDriver.class);
+
     /** The decision core, accessed only while the lock is held. */
     private final HostCore core;
 
@@ -84,11 +88,28 @@
     private void performDecisions(List<Decision> decisions, boolean precedingNextEvent) {
         for (Decision decision : decisions) {
             if (precedesNextEvent(decision) == precedingNextEvent) {
-                decisionSink.decide(decision);
+                perform(decision);
             }
         }
     }
 
+    /**
+     * Performs a decision. A failure is logged and not thrown, because it must not keep the other decisions of the
+     * event from being performed, nor reach whoever passed in the event.
+     *
+     * @param decision the decision
+     */
+    private void perform(Decision decision) {
+        try {
+            decisionSink.decide(decision);
+        } catch (RuntimeException | Error failure) {
+            LOGGER.errorf(
+                    failure,
+                    "decision %s could not be performed",
+                    decision.getClass().getSimpleName());
+        }
+    }
+
     /**
      * Returns whether a decision has to be performed before the next event is handled.
      *
--- a/chivecourse-core/src/test/java/org/chivecourse/transport/driver/CoreDriverTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/transport/driver/CoreDriverTest.java
@@ -2,10 +2,13 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItems;
 import static org.hamcrest.Matchers.hasSize;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -22,10 +25,13 @@
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.protocol.trace.TraceRecorder;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against requests that are sent before the configuration that their backend server belongs to has been applied:
- * a call that arrives on another thread while {@code Apply} is performed has to wait for it.
+ * a call that arrives on another thread while {@code Apply} is performed has to wait for it. Also guards against a
+ * decision that fails and takes others with it.
  */
 class CoreDriverTest {
 
@@ -70,6 +76,30 @@
                 hasSize(1));
     }
 
+    /**
+     * A decision that fails would take with it the others of its event, among them calls to the publisher, and the
+     * failure would reach whoever passed in the event.
+     */
+    @ParameterizedTest
+    @ValueSource(classes = {Decision.Audit.class, Decision.Apply.class, Decision.UseServers.class})
+    void performsOtherDecisionsOfEventWhenOneFails(Class<? extends Decision> failing) {
+        HostSettings settings = new HostSettings("host", "si-a", 1, ChoicePolicy.RANDOM, 10);
+        CoreDriver driver =
+                new CoreDriver(new HostCore(settings, new SplittableRandom(1)), new TraceRecorder(settings, 1, 0));
+        Set<Class<?>> performedKinds = new HashSet<>();
+        driver.setDecisionSink(decision -> {
+            performedKinds.add(decision.getClass());
+            if (failing.isInstance(decision)) {
+                throw new IllegalArgumentException("this decision cannot be performed");
+            }
+        });
+        driver.handle(configurationReadEvent());
+        driver.handle(new Event.CallArrived(1, new Arrival(Method.GET, "/jobs/lookups")));
+        assertThat(
+                performedKinds,
+                hasItems(Decision.Audit.class, Decision.Apply.class, Decision.UseServers.class, Decision.Send.class));
+    }
+
     private static Event configurationReadEvent() {
         String text = new ConfigurationWriter()
                 .printUnchecked(Configuration.revision(1).service(CoreHarness.jobsService(2)));
