Reject a digest whose addresses cannot be connected to

What operators would see: a gateway that hears a digest with a forwarding address like "10.0.0.999:80" fails each time that it applies its backend servers, and one with such an address of its own for digests each time that it sends to it or pulls from it.

Cause: the same class as an odd address of a backend server: the check at the boundary (has a colon) is not the rule by which the address is used.

Change: the decoder of digests checks addresses by Address, as settings and entries do. The existing test of a sender without a port is unchanged but for its digest, which both tests now take from one method.

--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.chivecourse.configuration.rule.Address;
 import org.chivecourse.protocol.peer.generated.AnsweredRequestMessage;
 import org.chivecourse.protocol.peer.generated.ConvictionMessage;
 import org.chivecourse.protocol.peer.generated.CrashMessage;
@@ -46,7 +47,7 @@
     /** The encoded rate of a backend server that has no request limit. */
     private static final double NO_LIMIT = -1;
 
-    /** The maximum length of a name, address or key, in characters. */
+    /** The maximum length of a name or key, in characters. */
     private static final int MAXIMUM_TEXT_CHARACTERS = 255;
 
     /** This class has only static methods. */
@@ -329,11 +330,11 @@
      *
      * @param message the digest
      * @return the address, empty if it takes none
-     * @throws PeerMessageException if the address is too long or has no port
+     * @throws PeerMessageException if it cannot be connected to
      */
     private static String decodeForwardingAddress(FleetDigestMessage message) throws PeerMessageException {
         String address = message.getForwardingAddress();
-        if (address.length() > MAXIMUM_TEXT_CHARACTERS || !address.isEmpty() && address.lastIndexOf(':') <= 0) {
+        if (!address.isEmpty() && !Address.isValid(address)) {
             throw new PeerMessageException(
                     "host \"" + message.getName() + "\" has an invalid forwarding address \"" + address + "\"");
         }
@@ -424,15 +425,15 @@
      * @param address the address at which it listens for other gateways, with a port
      * @param dataCentre the name of its data centre, which may be empty
      * @return the member
-     * @throws PeerMessageException if a field is too long, the name is empty or the address has no port
+     * @throws PeerMessageException if a field is too long, the name is empty or the address cannot be connected to
      */
     private static Member decodeMember(String name, String address, String dataCentre) throws PeerMessageException {
-        boolean valid = address.lastIndexOf(':') > 0 && dataCentre.length() <= MAXIMUM_TEXT_CHARACTERS;
+        boolean valid = Address.isValid(address) && dataCentre.length() <= MAXIMUM_TEXT_CHARACTERS;
         if (!valid) {
             throw new PeerMessageException(
                     "host \"" + name + "\" has an invalid data centre or address \"" + address + "\"");
         }
-        return new Member(checkText(name), checkText(address), dataCentre);
+        return new Member(checkText(name), address, dataCentre);
     }
 
     /**
@@ -444,7 +445,7 @@
      */
     private static String checkText(String text) throws PeerMessageException {
         if (text.isEmpty() || text.length() > MAXIMUM_TEXT_CHARACTERS) {
-            throw new PeerMessageException("a name, address or key has " + text.length() + " characters");
+            throw new PeerMessageException("a name or key has " + text.length() + " characters");
         }
         return text;
     }
--- a/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
@@ -23,6 +23,8 @@
 import org.chivecourse.state.server.LoadReport;
 import org.chivecourse.state.server.RequestLimit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against fleet digests that change when they are encoded and decoded, that exceed the size of a datagram, or
@@ -153,14 +155,29 @@
 
     @Test
     void rejectsSenderWithInvalidAddress() {
-        FleetDigest digest = digest(0, List.of(), null);
-        FleetDigest invalidSender = new FleetDigest(
-                new Member("host", "nowhere", "a"),
+        byte[] datagram = codec.encode(digestFrom("nowhere", ""), NOW_NANOSECONDS);
+        assertThrows(PeerMessageException.class, () -> codec.decode(datagram, "sender", NOW_NANOSECONDS));
+    }
+
+    /** Such an address would fail each time that this gateway sends a digest, forwards a call or pulls items. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.999:80", "[::::]:80", "-:1"})
+    void rejectsAddressThatCannotBeConnectedTo(String address) {
+        byte[] ofSender = codec.encode(digestFrom(address, ""), NOW_NANOSECONDS);
+        assertThrows(PeerMessageException.class, () -> codec.decode(ofSender, "sender", NOW_NANOSECONDS));
+        byte[] ofForwarding = codec.encode(digestFrom("10.0.0.1:80", address), NOW_NANOSECONDS);
+        assertThrows(PeerMessageException.class, () -> codec.decode(ofForwarding, "sender", NOW_NANOSECONDS));
+    }
+
+    private static FleetDigest digestFrom(String address, String forwardingAddress) {
+        return new FleetDigest(
+                new Member("host", address, "a"),
                 1,
                 1,
                 false,
                 false,
-                digest.publisherStatus(),
+                digest(0, List.of(), null).publisherStatus(),
                 List.of(),
                 List.of(),
                 List.of(),
@@ -170,8 +187,6 @@
                 1,
                 1,
                 List.of(),
-                "");
-        byte[] datagram = codec.encode(invalidSender, NOW_NANOSECONDS);
-        assertThrows(PeerMessageException.class, () -> codec.decode(datagram, "sender", NOW_NANOSECONDS));
+                forwardingAddress);
     }
 }
