--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/audit/AuditTrail.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/audit/AuditTrail.java
@@ -14,6 +14,9 @@
     /** The number of changes kept in memory. */
     private static final int MAXIMUM_CHANGES = 500;
 
+    /** The maximum length of each text of a change that the decision core made, in characters. */
+    private static final int MAXIMUM_TEXT_CHARACTERS = 500;
+
     /** The actor of all changes recorded here. */
     private static final String GATEWAY = "gateway";
 
@@ -43,7 +46,8 @@
     }
 
     /**
-     * Records a change that the decision core made.
+     * Records a change that the decision core made. Of a long text only the beginning is kept, since it may hold what
+     * others wrote.
      *
      * @param change the change
      */
@@ -53,13 +57,18 @@
                 host,
                 GATEWAY,
                 ConstantNames.of(change.subject()),
-                change.name(),
-                change.from(),
-                change.to(),
-                change.cause(),
+                shorten(change.name()),
+                shorten(change.from()),
+                shorten(change.to()),
+                shorten(change.cause()),
                 change.revision()));
     }
 
+    /** Returns the beginning of a text, or the whole text if it is short. */
+    private static String shorten(String text) {
+        return text.length() > MAXIMUM_TEXT_CHARACTERS ? text.substring(0, MAXIMUM_TEXT_CHARACTERS) + "..." : text;
+    }
+
     /**
      * Records an event of the gateway's own lifecycle.
      *
