Apply the other published items when the decoder fails on one

What operators would see: the table of published items has taken all items of an answer before the first is decoded. If the decoder threw on one of them, those after it were never applied, and since their revisions were known then, not at the next list either.

Cause: the core trusted an adapter's decoder, which reads what anybody wrote, to throw nothing. No value is known on which this adapter's decoder does (OddFieldTest, and OddEntryTest with a stack as small as a gateway's), so this is a second line.

Change: a failure of the decoder makes its item unreadable.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
@@ -146,7 +146,7 @@
         if (item.removed()) {
             return withdrawServer(item, keepUntil, source, now, sink);
         }
-        Publication publication = decoder.decode(item);
+        Publication publication = decode(item);
         if (publication instanceof Publication.ServerAnnouncement server) {
             return announceServer(item, server.server(), source, sink);
         }
@@ -162,6 +162,18 @@
         return false;
     }
 
+    /**
+     * Decodes an item. A failure of the decoder makes this item unreadable and costs no other, because the others are
+     * not published again.
+     */
+    private Publication decode(PublishedItem item) {
+        try {
+            return decoder.decode(item);
+        } catch (RuntimeException | StackOverflowError failure) {
+            return new Publication.Unreadable(failure.toString());
+        }
+    }
+
     /**
      * Applies the announcement of a backend server.
      *
