Split a route by weights whose sum exceeds an integer

What callers would see: of two services with the weight 2,000,000,000 each one gets all requests of the route. The sum of the weights overflowed, and the service that took a request gained credit by it. The configuration's reader allows each weight up to the largest integer and checks no sum.

Evidence: splitsRequestsByWeightsWhoseSumExceedsAnInteger got 100 of 100 for the first service, and gets 50 now.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/route/RouteSplit.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/route/RouteSplit.java
@@ -17,7 +17,7 @@
     private final List<ServiceShare> shares;
 
     /** The sum of the weights. */
-    private final int weightSum;
+    private final long weightSum;
 
     /** The credit of each service in units of weight. The service with the highest credit takes the next request. */
     private final double[] credits;
@@ -29,7 +29,7 @@
      */
     RouteSplit(List<ServiceShare> shares, double start) {
         this.shares = shares;
-        weightSum = shares.stream().mapToInt(ServiceShare::weight).sum();
+        weightSum = shares.stream().mapToLong(ServiceShare::weight).sum();
         credits = new double[shares.size()];
         Arrays.setAll(credits, index -> shares.get(index).weight() * (start - 0.5));
     }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/route/RouteTableTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/route/RouteTableTest.java
@@ -64,4 +64,16 @@
             assertThat(table.nextService(route), equalTo("y"));
         }
     }
+
+    @Test
+    void splitsRequestsByWeightsWhoseSumExceedsAnInteger() {
+        CallerRoute route = CallerRoute.of("r", "h", "/a/", "x")
+                .split(List.of(new ServiceShare("x", 2_000_000_000), new ServiceShare("y", 2_000_000_000)));
+        RouteTable table = table(route);
+        int first = 0;
+        for (int count = 0; count < 100; count++) {
+            first += table.nextService(route).equals("x") ? 1 : 0;
+        }
+        assertThat(first, equalTo(50));
+    }
 }
