Split each of two routes of one name among its own services

What callers would see: of two routes with the same name, the requests of both go to the services of the later one. The splits were held by name, which nothing checks to be used once; the routes themselves are held by host and prefix.

Evidence: routesOfSameNameKeepTheirOwnServices got the services of the other route.

Change: the table holds the split of each route by the route itself.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/route/RouteTable.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/route/RouteTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -17,8 +18,8 @@
     /** The routes by host name, sorted by descending length of their path prefixes. */
     private final Map<String, List<CallerRoute>> routes = new HashMap<>();
 
-    /** The splits by route name. */
-    private final Map<String, RouteSplit> splits = new HashMap<>();
+    /** The split of each route, by the route itself since the names of routes may repeat. */
+    private final Map<CallerRoute, RouteSplit> splits = new IdentityHashMap<>();
 
     /**
      * Creates a table.
@@ -28,7 +29,7 @@
     public RouteTable(List<CallerRoute> all, RandomGenerator random) {
         for (CallerRoute route : all) {
             routes.computeIfAbsent(route.host(), key -> new ArrayList<>()).add(route);
-            splits.put(route.name(), new RouteSplit(route.services(), random.nextDouble()));
+            splits.put(route, new RouteSplit(route.services(), random.nextDouble()));
         }
         Comparator<CallerRoute> byLength =
                 Comparator.comparingInt(route -> -route.pathPrefix().length());
@@ -50,9 +51,13 @@
         return null;
     }
 
-    /** Returns the name of the service that takes the next request of a route, and advances its split. */
+    /**
+     * Returns the name of the service that takes the next request of a route, and advances its split.
+     *
+     * @param route a route of this table
+     */
     public String nextService(CallerRoute route) {
-        return splits.get(route.name()).next();
+        return splits.get(route).next();
     }
 
     /** Returns whether there are no routes, so that the path prefixes of services apply. */
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/route/RouteTableTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/route/RouteTableTest.java
@@ -76,4 +76,11 @@
         }
         assertThat(first, equalTo(50));
     }
+
+    @Test
+    void routesOfSameNameKeepTheirOwnServices() {
+        RouteTable table = table(CallerRoute.of("r", "h", "/a/", "jobs"), CallerRoute.of("r", "h", "/b/", "others"));
+        assertThat(table.nextService(table.route("h", "/a/1")), equalTo("jobs"));
+        assertThat(table.nextService(table.route("h", "/b/1")), equalTo("others"));
+    }
 }
