--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -37,6 +37,8 @@
 
     private static final int BUSY_REPLY_BYTES = 8;
 
+    private static final int GATEWAYS_PER_SUBNET = 250;
+
     private final Map<String, Integer> repliesInFlight = new HashMap<>();
 
     private final Map<String, Integer> incarnations = new HashMap<>();
@@ -108,8 +110,18 @@
         return "host-" + number;
     }
 
+    private static String internetAddress(int number) {
+        return "10.0." + (1 + number / GATEWAYS_PER_SUBNET) + "." + number % GATEWAYS_PER_SUBNET;
+    }
+
+    /** Returns the number of the gateway at an address. */
+    static int numberAt(String address) {
+        String[] octets = address.substring(0, address.indexOf(':')).split("\\.");
+        return (Integer.parseInt(octets[2]) - 1) * GATEWAYS_PER_SUBNET + Integer.parseInt(octets[3]);
+    }
+
     static String address(int number) {
-        return "10.0.1." + number + ":7000";
+        return internetAddress(number) + ":7000";
     }
 
     static PublishedItem configuration(long configurationRevision, long revision) {
@@ -125,7 +137,7 @@
                 seeds,
                 FleetSettings.RetryLimits.DEFAULT,
                 100 * NANOSECONDS_PER_MILLISECOND,
-                forwarding ? "10.0.1." + number + ":7100" : "");
+                forwarding ? internetAddress(number) + ":7100" : "");
         HostSettings settings = new HostSettings(
                 name,
                 "dc-" + number % links.dataCentres(),
@@ -339,8 +351,7 @@
     }
 
     private String hostAt(String address) {
-        boolean gateway = address.startsWith("10.0.1.") && address.endsWith(":7000");
-        String host = gateway ? "host-" + address.substring("10.0.1.".length(), address.indexOf(':')) : "";
+        String host = address.endsWith(":7000") ? name(numberAt(address)) : "";
         return cores.containsKey(host) ? host : null;
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LargeFleetTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LargeFleetTest.java
@@ -53,7 +53,7 @@
     private static int countRemote(int number, List<String> addresses) {
         int count = 0;
         for (String address : addresses) {
-            int recipient = Integer.parseInt(address.substring("10.0.1.".length(), address.indexOf(':')));
+            int recipient = FleetNetwork.numberAt(address);
             count += recipient % DATA_CENTRES == number % DATA_CENTRES ? 0 : 1;
         }
         return count;
