Never use a connection again after a refusal on it

What callers would see: an order that a backend server runs is answered 503 not-run (REFUSED), or runs at a second backend server as well (TWICE). Reported by operators of a system like this one: a faulty backend server wrote an earlier refusal once more on a kept connection.

Cause: a refusal is believed to be the answer to whatever request was last written to its connection. Refusals without an identifier are believed, so nothing ties one to its request. One with an identifier is tied to the caller's attempt, not to ours: a call that is sent to the same server again after a rest has the same identifier both times. Probes share the connections of requests and have no identifier at all.

Ruled out: a refusal in chunks (its connection was closed already), and answers to an earlier order that cross the next one and bear their identifier (502, nothing promised).

Change: a connection is closed after a refusal, after an answer that does not name its request, and after a probe or health check without a success. So no answer that could be taken for the refusal of another request has been written to a connection that is kept. Connections between gateways are kept: a gateway writes each answer once.

--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
@@ -58,6 +58,15 @@
      */
     String mismatchReason(String identifier, int status, HttpHeaders headers);
 
+    /**
+     * Returns whether an answer names the request that it answers, so that no other request takes it for its own.
+     *
+     * @param identifier the identifier of the request, empty if it has none
+     * @param headers the header fields of the answer
+     * @return {@code true} if it does, or if the dialect has no identifiers
+     */
+    boolean identifies(String identifier, HttpHeaders headers);
+
     /**
      * Reads the load report of an answer.
      *
@@ -175,6 +184,11 @@
             return lengthKnown ? null : "the answer states no length, so its truncation could not be detected";
         }
 
+        @Override
+        public boolean identifies(String identifier, HttpHeaders headers) {
+            return true;
+        }
+
         @Override
         public LoadReport loadReport(HttpHeaders headers) {
             return LoadReportField.parse(headers.get(HeaderNames.LOAD_REPORT)).orElse(null);
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -164,6 +164,10 @@
         Event.AnswerHead answer = send.forwarded()
                 ? readForwardedAnswerHead(status, headers)
                 : dialect.readAnswerHead(status, headers, exchange.refusalSignal());
+        boolean identified = dialect.identifies(exchange.identifier(), headers);
+        if (!send.forwarded() && (answer.refused() || !identified)) {
+            BackendConnections.closeAfterAnswer(answering);
+        }
         long statedLength = statedLength();
         if (bodyless() || statedLength < 0 || statedLength > MAXIMUM_BUFFERED_BODY_BYTES) {
             driver.handle(new Event.AnswerStarted(send.attempt(), answer));
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -14,6 +14,7 @@
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.rule.Address;
 import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
@@ -160,6 +161,16 @@
         return pooled == null ? null : pooled.client;
     }
 
+    /**
+     * Keeps a connection from being used for another request once the current answer has been read. Required after each
+     * answer that another request would take for a refusal of its own if the backend server wrote it once more.
+     *
+     * @param connection the connection
+     */
+    static void closeAfterAnswer(Connection connection) {
+        connection.markPersistent(false);
+    }
+
     /** Closes all pools and waits for their connections to close, for a limited time. */
     public synchronized void close() {
         List<Mono<Void>> closings = new ArrayList<>();
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Set;
@@ -111,14 +112,20 @@
     }
 
     /**
-     * Reads an answer to its end and discards its body.
+     * Reads an answer to its end and discards its body. Its connection is kept only after a success, since any other
+     * answer may state that the check was not run, and names no request.
      *
      * @param receiver receives the answer
      * @param timeout the time within which the whole answer has to arrive
      * @return the header of the answer, or a failure if the answer is late or its body larger than allowed
      */
     private static Mono<HttpClientResponse> readAnswer(HttpClient.ResponseReceiver<?> receiver, Duration timeout) {
-        return receiver.response((response, body) -> discard(body).thenReturn(response))
+        return receiver.responseConnection((response, connection) -> {
+                    if (response.status().codeClass() != HttpStatusClass.SUCCESS) {
+                        BackendConnections.closeAfterAnswer(connection);
+                    }
+                    return discard(connection.inbound().receive()).thenReturn(response);
+                })
                 .single()
                 .timeout(timeout);
     }
