Forward no promise that neither names its request nor refuses it

What callers would see: an order that runs is answered 503, 429 or 408, which promise that it has not run (REFUSED). It is the answer to a health probe, which has no identifier and no field of a refusal, written to a connection on which an order waits.

Cause: an answer without identifier was taken for the request's own unless it is a success. Class: an answer that is believed because nothing speaks against it.

Evidence: RepeatedRefusalTest.doesNotForwardPromiseWithoutIdentifier, on the code before: the order ran and was answered 408, 429 and 503. It is answered 502 now.

An answer that another gateway created itself has no identifier either and names its outcome; it is taken as before.

Ruled out: to reject every answer without identifier. Whether refusals and the servers' own failures always bear one is an open question to the users, and a refusal that is not believed costs its caller the retry.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -155,9 +155,7 @@
         HeaderDialect dialect = registry.dialect();
         HttpHeaders headers = head.responseHeaders();
         int status = head.status().code();
-        String mismatch = status < FIRST_FINAL_STATUS
-                ? "informational status " + status
-                : dialect.mismatchReason(exchange.identifier(), status, headers);
+        String mismatch = mismatchReason(status, headers);
         if (mismatch != null) {
             return reportBrokenAnswer(mismatch);
         }
@@ -182,6 +180,22 @@
                 .flatMap(body -> handleBufferedBody(body, statedLength, answer));
     }
 
+    /**
+     * Returns why an answer cannot be the complete answer to the request. One that another gateway created itself needs
+     * no identifier.
+     *
+     * @param status the status code
+     * @param headers the header fields of the answer
+     * @return the reason, {@code null} if the answer is acceptable
+     */
+    private String mismatchReason(int status, HttpHeaders headers) {
+        if (status < FIRST_FINAL_STATUS) {
+            return "informational status " + status;
+        }
+        boolean createdByGateway = send.forwarded() && headers.contains(HeaderNames.OUTCOME);
+        return createdByGateway ? null : registry.dialect().mismatchReason(exchange.identifier(), status, headers);
+    }
+
     /**
      * Reads the head of an answer that came through another gateway. What a backend server states of itself in it is
      * for that gateway.
