Close a connection on which octets arrive that belong to no request

What callers would see: an order that runs is answered 503 not-run (REFUSED). A faulty backend server wrote the start of a refusal behind an answer; the next answer on the kept connection was read as the rest of its head, with the fields of both.

Cause: octets that arrive while no request waits, or behind an answer in the same read, are not looked at. The HTTP library discards whole answers among them and keeps their connection, and its decoder keeps the rest as the start of the next answer.

Ruled out: the identifier as the only check. Here the identifier is the right one, since the fields of the stray head and of the answer are read as one head.

Change: a handler before the decoder sees the octets, and one behind it the answers. The connection is closed if no exchange waits when octets arrive, or if the exchange that waited has ended and octets or answers are left. An answer that was complete is delivered.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -109,6 +109,7 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .responseTimeout(settings.stallTimeout())
                 .disableRetry(true)
+                .doOnChannelInit((observer, channel, remote) -> StrayBytesGuard.addTo(channel))
                 .headers(headers -> headers.remove(HttpHeaderNames.USER_AGENT));
         SslContext context = tls.get();
         return new PooledClient(
