--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -235,7 +235,7 @@
         lostLinks.put(host, loss);
         if (loss == LinkLoss.RESET) {
             servers.values()
-                    .forEach(server -> Set.copyOf(server.open).stream()
+                    .forEach(server -> List.copyOf(server.open).stream()
                             .filter(attempt -> attempt.host().equals(host))
                             .forEach(attempt -> reset(server, attempt)));
         }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashingRequestSimulation.java
@@ -363,7 +363,7 @@
     private void end(Server server) {
         server.alive = false;
         if (serverEnd == ServerEnd.RESET) {
-            Set.copyOf(server.open).forEach(attempt -> reset(server, attempt));
+            List.copyOf(server.open).forEach(attempt -> reset(server, attempt));
         }
         later(replacementMilliseconds, this::startServer);
         later(
