Recognize a crashing request whoever sends it

Cause: the caller's IP address was part of the fingerprint, and some 30 callers send the request, so that each of them had to end its own three servers first. Ruled out by a play with all parts in the log: port, key, body, host, other fields, and sends after a block.

RequestIdentityTest failed before: three fingerprints for one request from three addresses, without a body, with one and with a streamed one. The two tests that tell requests apart passed before as well.

--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/Fingerprint.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/Fingerprint.java
@@ -4,8 +4,8 @@
 import org.chivecourse.configuration.model.Method;
 
 /**
- * Computes fingerprints by which duplicates of a request are recognized: 64-bit FNV-1a hashes, which different requests
- * hardly ever share.
+ * Computes fingerprints by which copies of a request are recognized, whoever sends them: 64-bit FNV-1a hashes, which
+ * different requests hardly ever share.
  */
 public final class Fingerprint {
 
@@ -23,7 +23,7 @@
      *
      * @param method the method
      * @param target the path and query
-     * @param key the idempotency key with anything else that distinguishes callers, empty if there is none
+     * @param key the idempotency key with anything else that tells requests apart, empty if there is none
      * @param body the body, {@code null} if it is streamed and therefore not part of the fingerprint
      * @return the fingerprint
      */
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
@@ -101,14 +101,13 @@
     String serverIdentity(HttpHeaders headers);
 
     /**
-     * Returns a text that is part of a request's fingerprint, so that equal requests of different callers are not
-     * treated as duplicates.
+     * Returns a text that is part of a request's fingerprint, so that equal requests for different services are told
+     * apart. Nothing of the caller or its connection belongs to it: a backend server does not act on these.
      *
      * @param host the host name that the request is addressed to
-     * @param caller the address of the caller
-     * @return the text, empty if only the request itself counts
+     * @return the text, empty if only the method, the target, the key and the body count
      */
-    String duplicateContext(String host, String caller);
+    String identityContext(String host);
 
     /**
      * Formats the time after which a caller may retry a request.
@@ -210,7 +209,7 @@
         }
 
         @Override
-        public String duplicateContext(String host, String caller) {
+        public String identityContext(String host) {
             return "";
         }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
@@ -91,7 +91,6 @@
         long deadline = parseNumber(headers, dialect.deadlineField(), MAXIMUM_DEADLINE_MILLISECONDS);
         int depth = (int) parseNumber(headers, HeaderNames.DEPTH, MAXIMUM_DEPTH);
         String host = hostName(headers.get(HttpHeaderNames.HOST, ""));
-        String duplicateContext = dialect.duplicateContext(host, callerAddress(request));
         Arrival arrival = new Arrival(
                 method,
                 target.path(),
@@ -100,7 +99,7 @@
                 replayableBody != null,
                 key,
                 KeyAge.nanoseconds(key, System.currentTimeMillis()),
-                Fingerprint.of(method, target.pathAndQuery(), key + duplicateContext, replayableBody),
+                Fingerprint.of(method, target.pathAndQuery(), key + dialect.identityContext(host), replayableBody),
                 host);
         boolean chunked = replayableBody == null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH);
         String identifier =
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/RawConnection.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/RawConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
@@ -14,7 +15,12 @@
     private final Socket socket;
 
     public RawConnection(int port) throws IOException {
-        socket = new Socket("127.0.0.1", port);
+        this(port, "127.0.0.1");
+    }
+
+    /** Connects from a loopback address, so that the other side takes each address for another caller. */
+    public RawConnection(int port, String ownAddress) throws IOException {
+        socket = new Socket("127.0.0.1", port, InetAddress.getByName(ownAddress), 0);
         socket.setSoTimeout(TIMEOUT_MILLISECONDS);
         socket.setTcpNoDelay(true);
     }
