Keep the end of a server to oneself once its request has been answered

Cause: a gateway that proves the end of a server tells all others at once, though it has got a good answer to the request since, which voids that end. Answers travel with the digests, so that the end came first. Gateways that had got no answer of their own counted the ends of one event, and the block of one of them became the block of all. Now a gateway tells nobody of an end that an answer has voided.

The simulation of crashing requests can let callers come back after a failure; no test does so yet.

Ruled out: the order of Set.copyOf alone.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -180,16 +180,22 @@
                 || candidate.ended && now - candidate.endedAt >= WATCH_NANOSECONDS;
     }
 
-    /** Records that the backend server of an attempt ended under it. */
+    /**
+     * Records that the backend server of an attempt ended under it. Others are not told if the request has been
+     * answered since: this news would come before that of the answer, which voids it.
+     */
     private void recordCrash(WatchedAttempt candidate, long now, DecisionSink sink) {
         ServerCondition condition = candidate.server().condition();
         long firstSign = candidate.ended ? candidate.endedAt : now;
         long endedAt =
                 condition.isSilent() && condition.silentSince() - firstSign < 0 ? condition.silentSince() : firstSign;
         Crash crash = new Crash(candidate.fingerprint(), candidate.server().processName(), endedAt);
-        services.recordCrash(crash);
+        CrashFinding finding = poisonRequests.recordCrash(crash, now);
+        if (finding != CrashFinding.ANSWERED_SINCE) {
+            services.recordCrash(crash);
+        }
         CallTerms terms = candidate.attempt.call().terms();
-        services.auditCrash(poisonRequests.recordCrash(crash, now), crash, terms, sink);
+        services.auditCrash(finding, crash, terms, sink);
     }
 
     /** Withdraws the suspicion that a broken connection raised, and ends the trial of a suspected request. */
