Write the finding of another gateway only if it changes what this one does

Seen: 39 records for each request that may be suspected, since each of 13 gateways wrote each finding of each other one. A gateway now writes its own findings, that it blocks a request by another one's, and that an answer ends the time in which only one gateway sent it.

CrashReportTest counts the records of three ends, found by one gateway, at all others. After: fewer than the fleet has gateways, as the test asserts.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -117,13 +117,25 @@
         poisonRequests.pollUrgentCrashes().forEach(services::recordCrash);
     }
 
-    /** Withdraws possible crashes, of this host's requests and others', of backend servers that go on running. */
+    /**
+     * Withdraws possible crashes, of this host's requests and others', of backend servers that go on running. Audits
+     * those of this host's requests.
+     */
     private void withdrawDisproved(long now, DecisionSink sink) {
         for (Crash crash : poisonRequests.withdrawDisproved(this::showedLife, now)) {
-            audit(CrashFinding.WITHDRAWN, crash, "its server showed life, or nothing proved its end", sink);
+            if (isWatched(crash)) {
+                audit(CrashFinding.WITHDRAWN, crash, "its server showed life, or nothing proved its end", sink);
+            }
         }
     }
 
+    /** Returns whether this host sent the request of a possible crash to the backend server. */
+    private boolean isWatched(Crash crash) {
+        return watched.stream()
+                .anyMatch(candidate -> candidate.fingerprint() == crash.fingerprint()
+                        && candidate.server().processName().equals(crash.server()));
+    }
+
     /** Returns whether the backend server of a possible crash has shown since that it runs. */
     private boolean showedLife(Crash crash) {
         ServerState server = services.serverOfProcess(crash.server());
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -287,7 +287,7 @@
      */
     void auditCrash(CrashFinding finding, Crash crash, CallTerms terms, DecisionSink sink) {
         if (settings.fleet().enabled()) {
-            finding.audit(crash, settings.name(), configuration.revision(), sink);
+            finding.auditOwn(crash, settings.name(), configuration.revision(), sink);
         }
         if (finding == CrashFinding.BLOCKED) {
             sink.decide(new Decision.Audit(new Decision.Change(
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/CrashFinding.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/CrashFinding.java
@@ -55,15 +55,30 @@
     }
 
     /**
-     * Audits the finding, unless it changes nothing.
+     * Audits what this host found about the end of a backend server, unless it changes nothing.
+     *
+     * @param crash the request and the backend server
+     * @param host the name of this host
+     * @param revision the revision of the configuration in force
+     * @param sink receives the audit record
+     */
+    public void auditOwn(Crash crash, String host, long revision, DecisionSink sink) {
+        audit(crash.fingerprint(), "end of " + crash.server() + " known from " + host, revision, sink);
+    }
+
+    /**
+     * Audits what the report of another host means, if this host refuses the request from now on. The other host audits
+     * everything else, so that the number of records does not grow with the square of the fleet.
      *
      * @param crash the request and the backend server
-     * @param source the name of the host that observed or reported the crash
+     * @param source the name of the host that reported the crash
      * @param revision the revision of the configuration in force
      * @param sink receives the audit record
      */
     public void audit(Crash crash, String source, long revision, DecisionSink sink) {
-        audit(crash.fingerprint(), "end of " + crash.server() + " known from " + source, revision, sink);
+        if (this == BLOCKED) {
+            audit(crash.fingerprint(), "end of " + crash.server() + " known from " + source, revision, sink);
+        }
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -273,8 +273,9 @@
     /**
      * Records that a backend server ran a request to a good end. Clears earlier coincidences. A block is not lifted.
      *
-     * @param answeredAt the time of the answer in nanoseconds
-     * @return {@code true} if there was an end of a server to clear
+     * @param answeredAt the time of the answer in nanoseconds, which is the current time for an answer to this host
+     * @return {@code true} if it cleared the end of a server and is an answer to this host, or ends what this host does
+     *     about a request that is suspected repeatedly
      */
     public boolean recordAnswer(long fingerprint, long answeredAt, long now) {
         Suspicion suspicion = suspicions.get(fingerprint);
@@ -285,6 +286,7 @@
             return false;
         }
         boolean known = suspicion.answered && answeredAt - suspicion.answeredAt <= 0;
+        boolean concernsHost = answeredAt == now || suspicion.coincidences() >= SERVERS_TO_RETAIN;
         boolean cleared = suspicion.clearUntil(answeredAt);
         if (!known && cleared) {
             suspicion.recordAnswer(answeredAt, now);
@@ -292,7 +294,7 @@
         if (suspicion.empty()) {
             suspicions.remove(fingerprint);
         }
-        return cleared;
+        return cleared && concernsHost;
     }
 
     /**
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashReportTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashReportTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.oneOf;
 
 import java.util.List;
@@ -14,6 +15,8 @@
 import org.chivecourse.coordination.measure.ProbeFinding;
 import org.chivecourse.state.fleet.Crash;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against crashes of backend servers that some gateways never learn of, and against false ones. */
 class CrashReportTest {
@@ -96,4 +99,23 @@
         network.advance(2000);
         assertThat(network.core(7).poisonRequests().failedServerCount(77), equalTo(2));
     }
+
+    /** Each gateway used to write each finding of each other one: 39 records for three ends in a fleet of 13. */
+    @ParameterizedTest
+    @ValueSource(ints = {13, 136})
+    void writesAtMostOneRecordOfOthersFindingsAtEachGateway(int hosts) {
+        FleetNetwork network = new FleetNetwork(hosts);
+        network.advance(4000);
+        network.clearDecisions();
+        for (String server : List.of("i1", "i2", "i3")) {
+            recordCrash(network, 2, 77, server);
+            network.advance(1000);
+        }
+        int records = 0;
+        for (int host = 0; host < hosts; host++) {
+            assertThat(network.core(host).poisonRequests().blocked(77, network.now()), equalTo(true));
+            records += findings(network, host).size();
+        }
+        assertThat(records, lessThan(hosts));
+    }
 }
