Void the end of a server for good once an answer has cleared it

Cause: ages travel, so that each gateway that passes a report on makes the end younger by the time of travel. An end that had been cleared came back as one after the answer; it counted, was told again for 3 s as news, and was cleared by an answer that had become younger too. A process ends only once: its end stays cleared, and the answer becomes as young as the report of such an end.

FleetNetwork reads ages when a digest arrives, as gateways do; it read them when the digest was sent. CrashReportTest.reportsEndThatAnswerClearedNoLonger failed before (the end still counted after 10 s). Ruled out: an answer that was lost, a second end.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/PoisonRequests.java
@@ -185,7 +185,7 @@
         if (crash.endedAt() - ownAnswerAt <= 0 && !(suspicion.answered && ownAnswerAt - suspicion.answeredAt <= 0)) {
             suspicion.recordAnswer(ownAnswerAt, now);
         }
-        if (suspicion.answered && crash.endedAt() - suspicion.answeredAt <= 0) {
+        if (suspicion.hasCleared(crash, now)) {
             suspicion.withdraw(crash.server());
             suspicion.endTrial(crash.server());
             return CrashFinding.ANSWERED_SINCE;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Suspicion.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Suspicion.java
@@ -1,9 +1,11 @@
 package org.chivecourse.coordination.poison;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.chivecourse.state.fleet.Crash;
 
 /** What a host knows of a request that was running when backend servers ended. */
@@ -18,6 +20,12 @@
     /** The possible crashes by process of the backend server, which may go on running. */
     final Map<String, KnownCrash> unconfirmed = new LinkedHashMap<>();
 
+    /** The processes of backend servers whose crash an answer has cleared. Each process ends only once. */
+    final Set<String> clearedCrashes = new HashSet<>();
+
+    /** The processes of backend servers whose possible crash an answer has cleared. */
+    final Set<String> clearedPossibleCrashes = new HashSet<>();
+
     /** The possible crashes of this host that no other host has been told of immediately. */
     final List<Crash> unannounced = new ArrayList<>();
 
@@ -80,15 +88,37 @@
      */
     boolean clearUntil(long at) {
         unannounced.removeIf(crash -> crash.endedAt() - at <= 0);
-        boolean possibleCleared =
-                unconfirmed.values().removeIf(known -> known.crash().endedAt() - at <= 0);
-        boolean certainCleared =
-                crashes.values().removeIf(known -> known.crash().endedAt() - at <= 0);
+        boolean possibleCleared = clearUntil(at, unconfirmed, clearedPossibleCrashes);
+        boolean certainCleared = clearUntil(at, crashes, clearedCrashes);
         trialServer = trialStartedAt - at <= 0 ? null : trialServer;
         failedTrials = 0;
         return possibleCleared || certainCleared;
     }
 
+    /** Moves the crashes that are not later than an answer to the cleared ones, and returns whether there were any. */
+    private static boolean clearUntil(long at, Map<String, KnownCrash> crashes, Set<String> cleared) {
+        List<String> servers = crashes.values().stream()
+                .filter(known -> known.crash().endedAt() - at <= 0)
+                .map(known -> known.crash().server())
+                .toList();
+        cleared.addAll(servers);
+        return crashes.keySet().removeAll(servers);
+    }
+
+    /**
+     * Returns whether an answer has cleared a crash. A report that came through several hosts makes a crash younger by
+     * the time that it travelled. The answer becomes as young, so that it clears what such reports left elsewhere.
+     */
+    boolean hasCleared(Crash crash, long now) {
+        boolean cleared = clearedCrashes.contains(crash.server())
+                || crash.possible() && clearedPossibleCrashes.contains(crash.server());
+        boolean earlier = answered && crash.endedAt() - answeredAt <= 0;
+        if (cleared && !earlier) {
+            recordAnswer(crash.endedAt(), now);
+        }
+        return cleared || earlier;
+    }
+
     /** Returns the crashes and then the possible ones. */
     List<KnownCrash> known() {
         List<KnownCrash> all = new ArrayList<>(crashes.values());
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashReportTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/CrashReportTest.java
@@ -1,6 +1,7 @@
 package org.chivecourse.coordination.fleet;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.lessThan;
@@ -13,6 +14,7 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.measure.ProbeFinding;
+import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.state.fleet.Crash;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -72,6 +74,28 @@
         }
     }
 
+    /**
+     * A report makes an end younger by the time that it travels, so that it came back as one after the answer, was
+     * cleared, and was reported again without end.
+     */
+    @Test
+    void reportsEndThatAnswerClearedNoLonger() {
+        FleetNetwork network = startedFleet();
+        long endedAt = network.now();
+        recordCrash(network, 2, 77, "i1");
+        network.advance(20);
+        PoisonRequests answered = network.core(5).poisonRequests();
+        answered.recordAnswer(77, endedAt + 2 * FleetNetwork.NANOSECONDS_PER_MILLISECOND, network.now());
+        answered.recordCrash(
+                new Crash(77, "i1", endedAt + 4 * FleetNetwork.NANOSECONDS_PER_MILLISECOND), network.now());
+        network.advance(10_000);
+        for (HostCore core : network.cores()) {
+            assertThat(core.poisonRequests().failedServerCount(77), equalTo(0));
+            assertThat(core.poisonRequests().crashesToShare(10, network.now()), empty());
+            assertThat(core.poisonRequests().answersToShare(10, network.now()), empty());
+        }
+    }
+
     @Test
     void forwardsCrashFromEveryGatewayOfLargeDataCentres() {
         FleetNetwork network = new FleetNetwork(36);
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -290,7 +290,8 @@
         byte[] datagram = codec.encode(send.digest(), now);
         FleetMessage message = new FleetMessage(FleetMessage.Kind.DIGEST, number(from), datagram.length);
         try {
-            Event event = codec.decode(datagram, from, now);
+            // Ages are read when the digest arrives, so that each gateway it passes makes what it tells younger.
+            Event event = codec.decode(datagram, from, now + DELIVERY_DELAY_NANOSECONDS);
             for (String address : send.addresses()) {
                 send(message, event, send.digest().sender().address(), address);
             }
