--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
@@ -98,8 +98,8 @@
     }
 
     /**
-     * Returns whether a suspected call better runs at a backend server than at another one. Equally busy ones are ranked
-     * differently for each request, so that gateways which try different requests at a time hardly share a server.
+     * Returns whether a suspected call better runs at a backend server than at another one. Equally busy ones rank
+     * differently for each request, so that gateways which try different requests at a time hardly share one.
      */
     private static boolean isBetter(
             ServerState server, ServerState other, CallState call, PoisonRequests poisonRequests) {
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/poison/QuarantineTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/poison/QuarantineTest.java
@@ -72,7 +72,7 @@
         assertThat(quarantine.reserved(), equalTo(servers.get(1)));
     }
 
-    /** Gateways that tried a crashing request and a harmless one at the same time chose the same idle server for both. */
+    /** Gateways that tried a crashing request and a harmless one at the same time chose the same idle server. */
     @Test
     void triesDifferentRequestsAtDifferentServers() {
         Set<ServerState> reserved = new HashSet<>();
