--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -32,6 +32,8 @@
 
     private final Map<String, HostCore> cores = new LinkedHashMap<>();
 
+    private static final long DELIVERY_DELAY_NANOSECONDS = NANOSECONDS_PER_MILLISECOND;
+
     /** The number of replies to pulls that a gateway sends at the same time. */
     private static final int MAXIMUM_CONCURRENT_REPLIES = 4;
 
