Count the end of a server whose earlier break an answer cleared

Only the report of an end that was cleared may do so: a process ends once, its connections break often.

PoisonRequestsTest.countsEndOfServerWhoseEarlierBreakAnswerCleared failed before (ANSWERED_SINCE in place of COUNTED).

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Suspicion.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Suspicion.java
@@ -110,13 +110,12 @@
      * the time that it travelled. The answer becomes as young, so that it clears what such reports left elsewhere.
      */
     boolean hasCleared(Crash crash, long now) {
-        boolean cleared = clearedCrashes.contains(crash.server())
-                || crash.possible() && clearedPossibleCrashes.contains(crash.server());
+        boolean endCleared = clearedCrashes.contains(crash.server());
         boolean earlier = answered && crash.endedAt() - answeredAt <= 0;
-        if (cleared && !earlier) {
+        if (endCleared && !earlier) {
             recordAnswer(crash.endedAt(), now);
         }
-        return cleared || earlier;
+        return endCleared || earlier || crash.possible() && clearedPossibleCrashes.contains(crash.server());
     }
 
     /** Returns the crashes and then the possible ones. */
