Keep removed items removed after listings and late replies

What callers would see: requests sent to a backend server that has ended, for good, or to another service at its address.

And of two replies in flight the older one, arriving last, brought back an item that the newer one no longer had.

Change: a table tells changes only since its last whole read, else everything; an unknown item that is not newer than the table is ignored, unless it comes with a newer whole read. PublicationTableTest: both new tests failed before (an empty list of changes in place of none, an item that came back).

--- a/chivecourse-core/src/main/java/org/chivecourse/state/publication/PublicationTable.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/publication/PublicationTable.java
@@ -47,7 +47,9 @@
         Set<String> listedKeys = new HashSet<>();
         for (PublishedItem item : publishedItems) {
             listedKeys.add(item.key());
-            putIfNewer(item, changed);
+            if (readRevision >= revision || mayBeNew(item)) {
+                putIfNewer(item, changed);
+            }
         }
         if (readRevision < revision) {
             return changed;
@@ -58,6 +60,7 @@
             }
         }
         revision = readRevision;
+        removalsCompleteSince = Math.max(removalsCompleteSince, readRevision);
         return changed;
     }
 
@@ -76,12 +79,25 @@
         }
         List<PublishedItem> changed = new ArrayList<>();
         for (PublishedItem item : changes) {
-            putIfNewer(item, changed);
+            if (mayBeNew(item)) {
+                putIfNewer(item, changed);
+            }
         }
         revision = Math.max(revision, upToRevision);
         return changed;
     }
 
+    /**
+     * Returns whether an item may be newer than this table. An unknown one is not if the table is complete up to its
+     * revision: it has been removed since.
+     *
+     * @param item the item or removal
+     * @return {@code false} if the item is known to be outdated
+     */
+    private boolean mayBeNew(PublishedItem item) {
+        return item.revision() > revision || items.containsKey(item.key());
+    }
+
     /**
      * Stores an item if its revision is higher than the known one of its key.
      *
--- a/chivecourse-core/src/test/java/org/chivecourse/state/publication/PublicationTableTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/state/publication/PublicationTableTest.java
@@ -83,4 +83,21 @@
         assertThat(table.changesAfter(2), nullValue());
         assertThat(table.changesAfter(table.revision()), empty());
     }
+
+    /** A host that listed the items does not know what was removed before, so that others would keep it. */
+    @Test
+    void givesNoChangesFromBeforeListingThatMayLackRemovals() {
+        table.replaceAll(List.of(item("a", 1)), 110);
+        assertThat(table.changesAfter(105), nullValue());
+        assertThat(table.changesAfter(110), empty());
+    }
+
+    /** Of two replies in flight the older one may arrive last. */
+    @Test
+    void bringsNoRemovedItemBackWhenOlderReplyArrivesLate() {
+        table.replaceAll(List.of(item("a", 1)), 110);
+        assertThat(table.applyChanges(List.of(item("b", 104)), 100, 105), empty());
+        assertThat(table.replaceAll(List.of(item("c", 104)), 105), empty());
+        assertThat(table.publishedItems(), hasSize(1));
+    }
 }
