--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -87,6 +87,9 @@
             List<PublishedItem> items,
             @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ItemDifference> differences) {
 
+        /** The maximum encoded size of the revisions, the checksum and the lengths of an entry, in bytes. */
+        private static final int ENTRY_OVERHEAD_BYTES = 40;
+
         /** Creates changes with copies of the lists. */
         public Changes {
             items = List.copyOf(items);
@@ -104,9 +107,9 @@
             this(after, revision, items, List.of());
         }
 
-        /** Returns the total size of the keys, values and differences, in bytes. */
+        /** Returns an upper bound of the encoded size, in bytes. */
         public int bytes() {
-            int bytes = 0;
+            int bytes = (items.size() + differences.size()) * ENTRY_OVERHEAD_BYTES;
             for (PublishedItem item : items) {
                 bytes += item.key().length() + (item.removed() ? 0 : item.value().length);
             }
