Ask for all items when pulled changes do not fit, and forward what the relay cannot apply

What callers would see: a gateway that stays with an older configuration until a later change comes whole, and asks its neighbours for the same changes without a pause.

The relay of a data centre forwarded only what it could apply itself. The time for which a gateway counts as catching up ran from when it fell behind, so that under constant changes unknown routes got 404 again after 5 s.

Change: a reply that does not fit counts as a failure, and the next pull asks for all items. The relay forwards changes once for each revision. Catching up counts from the last progress or news.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationLag.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationLag.java
@@ -21,6 +21,12 @@
     /** The time at which this gateway learnt that it is behind, in nanoseconds. */
     private long since;
 
+    /** The highest revision of this gateway since it fell behind. */
+    private long latestOwnRevision;
+
+    /** The time at which this gateway last received newer items or heard of some, in nanoseconds. */
+    private long progressAt;
+
     /** Whether another gateway is known to have newer items. */
     private boolean behind;
 
@@ -46,12 +52,16 @@
      * @param sink receives an audit record if this gateway falls behind
      */
     void recordPeer(String peer, long revision, long ownRevision, long now, DecisionSink sink) {
+        boolean news = revision > highestRevision;
         highestRevision = Math.max(highestRevision, revision);
+        progressAt = news ? now : progressAt;
         if (behind || revision <= ownRevision) {
             return;
         }
         behind = true;
         since = now;
+        progressAt = now;
+        latestOwnRevision = ownRevision;
         revisionBefore = ownRevision;
         pulls = 0;
         audit("behind", ownRevision, revision, "digest of " + peer, sink);
@@ -71,6 +81,10 @@
      * @param sink receives an audit record if this gateway caught up
      */
     void recordOwn(long ownRevision, String way, long now, DecisionSink sink) {
+        if (behind && ownRevision > latestOwnRevision) {
+            latestOwnRevision = ownRevision;
+            progressAt = now;
+        }
         if (!behind || ownRevision < highestRevision) {
             return;
         }
@@ -84,9 +98,9 @@
         return behind;
     }
 
-    /** Returns the time at which this gateway learnt that it is behind, in nanoseconds. */
-    long since() {
-        return since;
+    /** Returns the time at which this gateway last received newer items or heard of some, in nanoseconds. */
+    long progressAt() {
+        return progressAt;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationPulls.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationPulls.java
@@ -65,11 +65,12 @@
      * Starts a pull if one is due and a live gateway has newer items.
      *
      * @param ownRevision the revision up to which this gateway knows the items
+     * @param whole whether to ask for all items in place of the changes since that revision
      * @param now the current time in nanoseconds
      * @param sink receives the decision
      * @return {@code true} if a pull was started
      */
-    boolean startDue(long ownRevision, long now, DecisionSink sink) {
+    boolean startDue(long ownRevision, boolean whole, long now, DecisionSink sink) {
         startedAt.values().removeIf(time -> now - time >= TIMEOUT_NANOSECONDS);
         boolean waits = !startedAt.isEmpty() && now - lastStartedAt < PATIENCE_NANOSECONDS;
         if (now - nextAt < 0 || waits || startedAt.size() >= MAXIMUM_PULLS) {
@@ -83,7 +84,7 @@
         lastStartedAt = now;
         pullNumber++;
         sink.decide(new Decision.PullPublication(
-                source.member().name(), source.member().address(), ownRevision));
+                source.member().name(), source.member().address(), whole ? 0 : ownRevision));
         return true;
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
@@ -26,7 +26,7 @@
     /** The number of gateways of the same data centre that are told of items that a digest cannot carry. */
     private static final int FAN_OUT = 4;
 
-    /** The time for which a gateway that knows that it is behind counts as about to catch up, in nanoseconds. */
+    /** The time without progress after which a gateway that is behind no longer counts as about to catch up. */
     private static final long CATCH_UP_NANOSECONDS = 5_000_000_000L;
 
     /** The other gateways of the fleet. */
@@ -44,6 +44,12 @@
     /** The pulls of this gateway. */
     private final PublicationPulls pulls;
 
+    /** Whether the next pull has to ask for all items, since changes did not fit what this gateway has. */
+    private boolean wholeRequired;
+
+    /** The highest revision of changes that were forwarded within this data centre. */
+    private long forwardedRevision;
+
     /**
      * Creates an exchange of published items.
      *
@@ -69,20 +75,30 @@
      * @param sink receives the resulting decisions
      */
     void receive(FleetDigest digest, boolean local, long now, DecisionSink sink) {
-        long previousRevision = publishedState.revision();
         String sender = digest.sender().name();
         if (digest.changes() != null) {
             publishedState.applyChanges(digest.changes(), "carried by " + sender, now, sink);
             lag.recordOwn(publishedState.revision(), "carried by " + sender, now, sink);
         }
-        boolean forwards = BridgeElection.INSTANCE.mustForward(peers) && RelayElection.INSTANCE.isRelay(peers, now);
-        if (!local && publishedState.revision() > previousRevision && forwards) {
-            send(peers.liveLocal(now), digest.changes(), now, sink);
-        }
+        forward(digest.changes(), local, now, sink);
         lag.recordPeer(sender, digest.publisherStatus().revision(), publishedState.revision(), now, sink);
         startDuePull(now, sink);
     }
 
+    /**
+     * Forwards changes from another data centre within this one, once, if this gateway is the relay. It does so also if
+     * it cannot apply them, since others may have what it lacks.
+     */
+    private void forward(FleetDigest.Changes changes, boolean local, long now, DecisionSink sink) {
+        if (local || changes == null || changes.revision() <= forwardedRevision) {
+            return;
+        }
+        if (BridgeElection.INSTANCE.mustForward(peers) && RelayElection.INSTANCE.isRelay(peers, now)) {
+            forwardedRevision = changes.revision();
+            send(peers.liveLocal(now), changes, now, sink);
+        }
+    }
+
     /**
      * Starts a pull if this gateway is behind and one is due.
      *
@@ -90,13 +106,14 @@
      * @param sink receives the resulting decisions
      */
     void startDuePull(long now, DecisionSink sink) {
-        if (lag.behind() && pulls.startDue(publishedState.revision(), now, sink)) {
+        if (lag.behind() && pulls.startDue(publishedState.revision(), wholeRequired, now, sink)) {
             lag.recordPull();
         }
     }
 
     /**
-     * Applies published items that were pulled from another gateway, and tells a few others of them.
+     * Applies published items that were pulled from another gateway, and tells a few others of them. If they do not fit
+     * what this gateway has, the next pull asks for all items.
      *
      * @param event the pulled items
      * @param now the current time in nanoseconds
@@ -104,9 +121,13 @@
      */
     void applyPulled(Event.PublicationPulled event, long now, DecisionSink sink) {
         long previousRevision = publishedState.revision();
-        pulls.complete(event.name());
         String way = "pulled from " + event.name();
-        publishedState.applyChanges(event.changes(), way, now, sink);
+        wholeRequired = !publishedState.applyChanges(event.changes(), way, now, sink);
+        if (wholeRequired) {
+            pulls.fail(event.name(), now);
+            return;
+        }
+        pulls.complete(event.name());
         lag.recordOwn(publishedState.revision(), way, now, sink);
         if (publishedState.revision() > previousRevision && previousRevision > 0) {
             send(nextToTell(now), null, now, sink);
@@ -170,9 +191,9 @@
      * Returns whether this gateway lacks items that others have, and is about to receive them.
      *
      * @param now the current time in nanoseconds
-     * @return {@code true} if it fell behind a short time ago
+     * @return {@code true} if it received newer items, or heard of some, a short time ago
      */
     boolean outdated(long now) {
-        return lag.behind() && now - lag.since() < CATCH_UP_NANOSECONDS;
+        return lag.behind() && now - lag.progressAt() < CATCH_UP_NANOSECONDS;
     }
 }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/PublicationLagTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/PublicationLagTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -40,4 +41,13 @@
         lag.recordOwn(6, "read from the publisher", MILLISECOND, this::record);
         assertThat(records, empty());
     }
+
+    /** Under constant changes a gateway may never reach the highest revision that it has heard of. */
+    @Test
+    void countsAsBehindSinceItsLastProgress() {
+        lag.recordPeer("host-2", 9, 5, 0, this::record);
+        lag.recordOwn(7, "pulled from host-2", 4000 * MILLISECOND, this::record);
+        assertThat(lag.progressAt(), equalTo(4000 * MILLISECOND));
+        assertThat(lag.behind(), equalTo(true));
+    }
 }
