--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -1,7 +1,5 @@
 package org.chivecourse.protocol.peer;
 
-import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -11,10 +9,7 @@
 import org.chivecourse.protocol.peer.generated.ConvictionMessage;
 import org.chivecourse.protocol.peer.generated.CrashMessage;
 import org.chivecourse.protocol.peer.generated.FleetDigestMessage;
-import org.chivecourse.protocol.peer.generated.ItemDifferenceMessage;
 import org.chivecourse.protocol.peer.generated.MemberMessage;
-import org.chivecourse.protocol.peer.generated.PublicationReply;
-import org.chivecourse.protocol.peer.generated.PublishedItemMessage;
 import org.chivecourse.protocol.peer.generated.RequestLimitMessage;
 import org.chivecourse.protocol.peer.generated.SightingMessage;
 import org.chivecourse.state.fleet.AnsweredRequest;
@@ -24,8 +19,6 @@
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
-import org.chivecourse.state.publication.ItemDifference;
-import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.LoadReport;
 import org.chivecourse.state.server.RequestLimit;
 
@@ -107,9 +100,9 @@
                         .setSeconds(seconds)));
         digest.limitReports().forEach(report -> message.addRequestLimits(encode(report, now)));
         if (digest.changes() != null && digest.changes().differences().isEmpty()) {
-            message.setChanges(encode(digest.changes()));
+            message.setChanges(PublicationCodec.encode(digest.changes()));
         } else if (digest.changes() != null) {
-            message.setCompactChanges(encode(digest.changes()));
+            message.setCompactChanges(PublicationCodec.encode(digest.changes()));
         }
         return message.build();
     }
@@ -203,36 +196,6 @@
         return now - ageMilliseconds * NANOSECONDS_PER_MILLISECOND;
     }
 
-    /**
-     * Encodes published items and removals.
-     *
-     * @param changes the changes
-     * @return the message
-     */
-    public static PublicationReply encode(FleetDigest.Changes changes) {
-        PublicationReply.Builder message =
-                PublicationReply.newBuilder().setAfter(changes.after()).setRevision(changes.revision());
-        for (PublishedItem item : changes.items()) {
-            PublishedItemMessage.Builder itemMessage = PublishedItemMessage.newBuilder()
-                    .setKey(item.key())
-                    .setRevision(item.revision())
-                    .setRemoved(item.removed());
-            if (!item.removed()) {
-                itemMessage.setValue(ByteString.copyFrom(item.value()));
-            }
-            message.addItems(itemMessage);
-        }
-        for (ItemDifference difference : changes.differences()) {
-            message.addDifferences(ItemDifferenceMessage.newBuilder()
-                    .setKey(difference.key())
-                    .setRevision(difference.revision())
-                    .setBaseRevision(difference.baseRevision())
-                    .setDifference(ByteString.copyFrom(difference.difference()))
-                    .setChecksum(difference.checksum()));
-        }
-        return message.build();
-    }
-
     /**
      * Decodes a digest.
      *
@@ -306,9 +269,9 @@
      */
     private static FleetDigest.Changes decodeChanges(FleetDigestMessage message) throws PeerMessageException {
         if (message.hasCompactChanges()) {
-            return decode(message.getCompactChanges());
+            return PublicationCodec.decode(message.getCompactChanges());
         }
-        return message.hasChanges() ? decode(message.getChanges()) : null;
+        return message.hasChanges() ? PublicationCodec.decode(message.getChanges()) : null;
     }
 
     /**
@@ -374,50 +337,6 @@
         return new Observation(checkText(message.getServer()), kind, report, observedAt);
     }
 
-    /**
-     * Decodes published items and removals.
-     *
-     * @param message the message
-     * @return the changes
-     * @throws PeerMessageException if the range of revisions is invalid or a key is empty or too long
-     */
-    public static FleetDigest.Changes decode(PublicationReply message) throws PeerMessageException {
-        if (message.getAfter() < 0 || message.getRevision() < message.getAfter()) {
-            throw new PeerMessageException("invalid range of published items: after revision " + message.getAfter()
-                    + " up to revision " + message.getRevision());
-        }
-        List<PublishedItem> items = new ArrayList<>();
-        for (PublishedItemMessage item : message.getItemsList()) {
-            byte[] value = item.getRemoved() ? null : item.getValue().toByteArray();
-            items.add(new PublishedItem(checkText(item.getKey()), item.getRevision(), value));
-        }
-        List<ItemDifference> differences = new ArrayList<>();
-        for (ItemDifferenceMessage difference : message.getDifferencesList()) {
-            differences.add(new ItemDifference(
-                    checkText(difference.getKey()),
-                    difference.getRevision(),
-                    difference.getBaseRevision(),
-                    difference.getDifference().toByteArray(),
-                    difference.getChecksum()));
-        }
-        return new FleetDigest.Changes(message.getAfter(), message.getRevision(), items, differences);
-    }
-
-    /**
-     * Decodes published items and removals from bytes.
-     *
-     * @param message the encoded message
-     * @return the changes
-     * @throws PeerMessageException if the message is malformed or invalid
-     */
-    public static FleetDigest.Changes decodePublication(byte[] message) throws PeerMessageException {
-        try {
-            return decode(PublicationReply.parseFrom(message));
-        } catch (InvalidProtocolBufferException exception) {
-            throw new PeerMessageException("published items are malformed: " + exception.getMessage());
-        }
-    }
-
     /**
      * Validates the fields of a member and creates it.
      *
@@ -443,7 +362,7 @@
      * @return the same text
      * @throws PeerMessageException if the text is empty or too long
      */
-    private static String checkText(String text) throws PeerMessageException {
+    static String checkText(String text) throws PeerMessageException {
         if (text.isEmpty() || text.length() > MAXIMUM_TEXT_CHARACTERS) {
             throw new PeerMessageException("a name or key has " + text.length() + " characters");
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationTransfer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationTransfer.java
@@ -27,9 +27,9 @@
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.protocol.peer.Deflation;
-import org.chivecourse.protocol.peer.FleetCodec;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.PeerMessageException;
+import org.chivecourse.protocol.peer.PublicationCodec;
 import org.chivecourse.protocol.peer.generated.ConfigurationReply;
 import org.chivecourse.protocol.peer.generated.ConfigurationRequest;
 import org.chivecourse.protocol.platform.PlatformProtocol;
@@ -183,11 +183,11 @@
             throw new PeerMessageException("the other gateway is busy");
         }
         if (reply.getDeflatedPublication().isEmpty()) {
-            return FleetCodec.decode(reply.getPublication());
+            return PublicationCodec.decode(reply.getPublication());
         }
         byte[] publication =
                 Deflation.inflateBytes(reply.getDeflatedPublication().toByteArray(), MAXIMUM_PUBLICATION_BYTES);
-        return FleetCodec.decodePublication(publication);
+        return PublicationCodec.decode(publication);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PublicationReplies.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PublicationReplies.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.chivecourse.protocol.peer.Deflation;
-import org.chivecourse.protocol.peer.FleetCodec;
+import org.chivecourse.protocol.peer.PublicationCodec;
 import org.chivecourse.protocol.peer.generated.ConfigurationReply;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.transport.driver.CoreDriver;
@@ -66,7 +66,7 @@
      */
     ConfigurationReply plainReply(long after) {
         return ConfigurationReply.newBuilder()
-                .setPublication(FleetCodec.encode(
+                .setPublication(PublicationCodec.encode(
                         driver.read(core -> core.publishedState().changesAfter(after))))
                 .build();
     }
@@ -81,7 +81,7 @@
     /** Composes and keeps the compressed reply for a revision. */
     private ConfigurationReply composeReply(long after) {
         FleetDigest.Changes changes = driver.read(core -> core.publishedState().compactChangesAfter(after));
-        byte[] deflated = Deflation.deflate(FleetCodec.encode(changes).toByteArray());
+        byte[] deflated = Deflation.deflate(PublicationCodec.encode(changes).toByteArray());
         ConfigurationReply reply = ConfigurationReply.newBuilder()
                 .setDeflatedPublication(ByteString.copyFrom(deflated))
                 .build();
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/ConfigurationSpread.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/ConfigurationSpread.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
-import org.chivecourse.protocol.peer.FleetCodec;
+import org.chivecourse.protocol.peer.PublicationCodec;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.publication.PublishedItem;
@@ -73,7 +73,7 @@
         PublishedItem item = FleetConfigurations.ofRoutes(++configurationRevision, routes);
         configurationBytes = item.value().length;
         FleetDigest.Changes changes = new FleetDigest.Changes(0, 2, List.of(item));
-        compressedBytes = CompressedSize.of(FleetCodec.encode(changes).toByteArray());
+        compressedBytes = CompressedSize.of(PublicationCodec.encode(changes).toByteArray());
         publishedAt = network.now();
         network.publish(item);
         return configurationRevision;
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -16,10 +16,10 @@
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.coordination.publication.PublicationDecoder;
-import org.chivecourse.protocol.peer.FleetCodec;
 import org.chivecourse.protocol.peer.MessageAuthenticator;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.PeerMessageException;
+import org.chivecourse.protocol.peer.PublicationCodec;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.publication.PublishedItem;
 
@@ -337,7 +337,7 @@
             return;
         }
         FleetDigest.Changes changes = cores.get(from).publishedState().compactChangesAfter(pull.after());
-        int bytes = CompressedSize.of(FleetCodec.encode(changes).toByteArray());
+        int bytes = CompressedSize.of(PublicationCodec.encode(changes).toByteArray());
         reply(from, host, incarnation, bytes, new Event.PublicationPulled(pull.name(), changes));
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/PublicationSpreadTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/PublicationSpreadTest.java
@@ -14,7 +14,7 @@
 import org.chivecourse.coordination.fleet.DigestComposer.Content;
 import org.chivecourse.coordination.publication.Publication;
 import org.chivecourse.coordination.publication.PublishedState;
-import org.chivecourse.protocol.peer.FleetCodec;
+import org.chivecourse.protocol.peer.PublicationCodec;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.publication.ItemDifference;
@@ -113,7 +113,7 @@
         publishedState.applyChanges(new FleetDigest.Changes(1, 2, removals), "publisher", 0, decisions::add);
         spread.broadcast(1, 0, decisions::add);
         for (FleetDigest.Changes changes : carried) {
-            int encoded = FleetCodec.encode(changes).getSerializedSize();
+            int encoded = PublicationCodec.encode(changes).getSerializedSize();
             assertThat(encoded, lessThanOrEqualTo(MAXIMUM_CARRIED_BYTES));
         }
     }
