Tell three gateways of a large change in place of four

The first holder was told to four gateways and to one of each other data centre, and others found it by its regular digest.

Change: three.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
@@ -24,7 +24,7 @@
     private static final int MAXIMUM_CARRIED_BYTES = 800;
 
     /** The number of gateways of the same data centre that are told of items that a digest cannot carry. */
-    private static final int FAN_OUT = 4;
+    private static final int FAN_OUT = 3;
 
     /** The time without progress after which a gateway that is behind no longer counts as about to catch up. */
     private static final long CATCH_UP_NANOSECONDS = 5_000_000_000L;
