--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
@@ -20,7 +20,7 @@
     /** The source of items that this gateway read itself, for the audit log. */
     static final String PUBLISHER = "publisher";
 
-    /** The maximum total size of the keys and values of published items that a digest carries, in bytes. */
+    /** The maximum encoded size of the changes of published items that a digest carries, in bytes. */
     private static final int MAXIMUM_CARRIED_BYTES = 800;
 
     /** The number of gateways of the same data centre that are told of items that a digest cannot carry. */
