Refuse requests that find no room before their target latency is missed

Requests that had missed their target latency took places that new ones at other gateways needed.

Cause: a waiting request was kept until its deadline, behind those that could still be in time at the same gateway, but before those of all others.

Change: a request that has not been tried is refused (NO_ROOM) when its target latency can no longer be met; it is told to return after one target latency. A request whose target is missed is sent only where another one has room besides. How long a caller has been trying is concluded from the time that it still grants, as far as that is sure.

The simulation now draws the granted times alike.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
@@ -147,11 +147,12 @@
     }
 
     /**
-     * Moves waiting calls that miss their target latency behind the others, and abandons those that can no longer be
-     * answered before their deadline.
+     * Moves waiting calls that miss their target latency behind the others, and abandons those that have found no room
+     * or can no longer be answered before their deadline.
      */
     void abandonLate(ServiceState service, long now, DecisionSink sink) {
-        service.waitingCalls().demote(call -> missesTarget(service, call, now));
+        service.waitingCalls().demote(call -> service.missesTarget(call, now));
+        abandonWithoutRoom(service, now, sink);
         CallState late = findLate(service, now);
         while (late != null) {
             finalAnswers.abandon(late, Reason.DEADLINE_UNREACHABLE, now, sink);
@@ -159,6 +160,25 @@
         }
     }
 
+    /**
+     * Abandons the waiting calls that have not been tried and miss their target latency. Their callers can come back at
+     * a better time, while those that arrive meanwhile can still be answered within their target latency. Does nothing
+     * while request limits or rests decide how long calls wait.
+     */
+    private void abandonWithoutRoom(ServiceState service, long now, DecisionSink sink) {
+        if (service.waitingCalls().size() == 0
+                || RestingServers.nanosecondsUntilFirst(service.servers(), now) > 0
+                || LimitedCapacity.of(service.servers(), now).everyServerLimited()) {
+            return;
+        }
+        Predicate<CallState> withoutRoom = call -> call.attempts().isEmpty() && service.missesTarget(call, now);
+        CallState call = service.waitingCalls().findFirst(withoutRoom);
+        while (call != null) {
+            finalAnswers.abandon(call, Reason.NO_ROOM, now, sink);
+            call = service.waitingCalls().findFirst(withoutRoom);
+        }
+    }
+
     /** Returns a waiting call that can no longer be answered before its deadline, or {@code null} if there is none. */
     private static CallState findLate(ServiceState service, long now) {
         return findWaiting(service, call -> missesDeadline(service, call, now));
@@ -213,19 +233,6 @@
         }
     }
 
-    /**
-     * Returns whether less time is left until a waiting call's target latency than its work typically takes. {@code
-     * false} for calls without a host-name route.
-     */
-    private static boolean missesTarget(ServiceState service, CallState call, long now) {
-        if (call.terms().route().isEmpty()) {
-            return false;
-        }
-        double typicalNanoseconds = service.workTimes()
-                .nanoseconds(call.terms().route(), call.terms().targetLatencyNanoseconds());
-        return call.terms().arrivedAt() + call.terms().targetLatencyNanoseconds() - now < typicalNanoseconds;
-    }
-
     /**
      * Returns whether less time is left until a waiting call's deadline than half of what its work typically takes.
      * {@code false} for calls without a host-name route.
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -122,7 +122,8 @@
         ServiceState service = found.orElseThrow();
         CallTerms terms = route == null
                 ? CallTermsFactory.create(service.service(), arrival, now)
-                : CallTermsFactory.create(route, service.service(), arrival, now);
+                : CallTermsFactory.create(
+                        route, service.service(), arrival, elapsedNanoseconds(service, route, arrival), now);
         CallState call = new CallState(event.call(), terms);
         openCalls.add(call);
         if (!terms.forwarded()) {
@@ -136,6 +137,11 @@
         keyedCalls.requestKey(call, arrival.keyAgeNanoseconds(), now, sink);
     }
 
+    /** Returns the time for which the caller of a request has surely been trying, in nanoseconds. */
+    private static long elapsedNanoseconds(ServiceState service, CallerRoute route, Arrival arrival) {
+        return service.callerElapsedTimes().record(route.name(), arrival.remainingNanoseconds());
+    }
+
     /**
      * Returns why a request is refused on arrival, or {@code null} if it is accepted.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallTermsFactory.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallTermsFactory.java
@@ -43,8 +43,10 @@
     /**
      * Returns the terms of a request with a host-name route. Only the outermost gateway of a chain of calls retries or
      * hedges, so that retries do not multiply along the chain.
+     *
+     * @param elapsedNanoseconds the estimated time since the caller first sent the request
      */
-    static CallTerms create(CallerRoute route, Service service, Arrival arrival, long now) {
+    static CallTerms create(CallerRoute route, Service service, Arrival arrival, long elapsedNanoseconds, long now) {
         boolean idempotent = route.idempotency().covers(arrival.method());
         long configured = route.timeout().toNanos();
         long requested = arrival.remainingNanoseconds();
@@ -58,7 +60,7 @@
                 arrival.replayable(),
                 "",
                 arrival.fingerprint(),
-                now,
+                now - elapsedNanoseconds,
                 now + (requested > 0 ? Math.min(configured, requested) : configured),
                 route.name(),
                 route.rank(),
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/RetryAfterDelay.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/RetryAfterDelay.java
@@ -25,6 +25,12 @@
     /** The share of the target latency after which capacity is expected to be available. */
     private static final double TARGET_LATENCY_SHARE = 0.5;
 
+    /**
+     * The same after the target latency of a call was missed for lack of room. Its caller comes back when those that
+     * arrived meanwhile have had their turn.
+     */
+    private static final double TARGET_LATENCY_SHARE_WITHOUT_ROOM = 1;
+
     /** The mean delay while the gateway has just started and has no configuration yet. */
     private static final long STARTUP_DELAY_MILLISECONDS = 150;
 
@@ -63,10 +69,11 @@
             long rest = RestingServers.nanosecondsUntilFirst(service.servers(), now);
             return Math.round(rest / NANOSECONDS_PER_MILLISECOND) + jitter(TRANSIENT_FAILURE_DELAY_MILLISECONDS);
         }
-        boolean transientFailure = reason == Reason.REFUSED || reason == Reason.NO_CONNECTION;
-        return transientFailure
-                ? jitter(TRANSIENT_FAILURE_DELAY_MILLISECONDS)
-                : jitter(TARGET_LATENCY_SHARE * terms.targetLatencyNanoseconds() / NANOSECONDS_PER_MILLISECOND);
+        if (reason == Reason.REFUSED || reason == Reason.NO_CONNECTION) {
+            return jitter(TRANSIENT_FAILURE_DELAY_MILLISECONDS);
+        }
+        double share = reason == Reason.NO_ROOM ? TARGET_LATENCY_SHARE_WITHOUT_ROOM : TARGET_LATENCY_SHARE;
+        return jitter(share * terms.targetLatencyNanoseconds() / NANOSECONDS_PER_MILLISECOND);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -34,6 +34,9 @@
         double typicalNanoseconds = service.workTimes()
                 .nanoseconds(call.terms().route(), call.terms().targetLatencyNanoseconds());
         candidates.begin(service.servers(), service.reportedTotal().averagePerServer(), typicalNanoseconds, now);
+        if (call.attempts().isEmpty() && service.missesTarget(call, now)) {
+            candidates.leaveRoom();
+        }
         reserved = service.quarantine().reserved();
         candidates.expectUnreported(
                 service.otherHostsRequestsPerNanosecond(now), service.servers(), server -> isAvailable(server, now));
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -14,12 +14,15 @@
 import org.chivecourse.coordination.hedge.HedgeSchedule;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.coordination.limit.ArrivalRates;
+import org.chivecourse.coordination.limit.CallerElapsedTimes;
 import org.chivecourse.coordination.limit.WaitingCalls;
 import org.chivecourse.coordination.measure.ProbeBudget;
 import org.chivecourse.coordination.poison.Quarantine;
 import org.chivecourse.coordination.retry.FleetRetryBudget;
 import org.chivecourse.coordination.retry.RetryBudget;
 import org.chivecourse.coordination.retry.ServiceRetryBudget;
+import org.chivecourse.state.call.CallState;
+import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.server.RegisteredServer;
 import org.chivecourse.state.server.ReportedTotal;
 import org.chivecourse.state.server.ServerState;
@@ -66,6 +69,9 @@
     /** The rates at which requests of the service arrive, by rank. */
     private final ArrivalRates arrivalRates = new ArrivalRates();
 
+    /** How long callers have been trying to get an answer. */
+    private final CallerElapsedTimes callerElapsedTimes = new CallerElapsedTimes();
+
     /** Finds out whether this host's own links to the backend servers are lost. */
     private final LinkMonitor links = new LinkMonitor();
 
@@ -208,6 +214,24 @@
         return links;
     }
 
+    /**
+     * Returns whether less time is left until a call's target latency than its work typically takes. {@code false} for
+     * calls without a host-name route.
+     */
+    boolean missesTarget(CallState call, long now) {
+        CallTerms terms = call.terms();
+        if (terms.route().isEmpty()) {
+            return false;
+        }
+        double typicalNanoseconds = workTimes.nanoseconds(terms.route(), terms.targetLatencyNanoseconds());
+        return terms.firstSentAt() + terms.targetLatencyNanoseconds() - now < typicalNanoseconds;
+    }
+
+    /** Returns how long callers have been trying to get an answer. */
+    CallerElapsedTimes callerElapsedTimes() {
+        return callerElapsedTimes;
+    }
+
     /** Returns the rates at which requests of the service arrive, by rank. */
     ArrivalRates arrivalRates() {
         return arrivalRates;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
@@ -22,6 +22,9 @@
     /** The average number of requests of other hosts in flight at a backend server of the service. */
     private double otherHostsAverageInFlight;
 
+    /** The number of requests that a backend server must have room for beyond the one that is sent. */
+    private int roomToLeave;
+
     /** Estimates the requests of other hosts that no report includes yet. */
     private final UnreportedRequests unreported = new UnreportedRequests();
 
@@ -41,6 +44,7 @@
         size = 0;
         now = time;
         otherHostsAverageInFlight = otherHostsAverage;
+        roomToLeave = 0;
         unreported.reset();
     }
 
@@ -87,6 +91,16 @@
         typicalNanoseconds = typical;
     }
 
+    /** Selects only among backend servers that have room for one more request, which a more urgent one may need. */
+    public void leaveRoom() {
+        roomToLeave = 1;
+    }
+
+    /** Returns the number of requests that a backend server must have room for beyond the one that is sent. */
+    int roomToLeave() {
+        return roomToLeave;
+    }
+
     /**
      * Returns the estimated time until a candidate answers, in nanoseconds.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/ChoicePolicy.java
@@ -99,7 +99,8 @@
 
         @Override
         public boolean admits(ServerState server, Candidates candidates) {
-            return candidates.inFlightWithUnreported(server) < FinishEstimate.efficientInFlightLimit(server);
+            double needed = candidates.inFlightWithUnreported(server) + candidates.roomToLeave();
+            return needed < FinishEstimate.efficientInFlightLimit(server);
         }
 
         @Override
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -35,6 +35,9 @@
     /** The queue of the service is full. */
     QUEUE_FULL(503, "too many requests wait for the service"),
 
+    /** No backend server has room, and the request's target latency cannot be met any more. */
+    NO_ROOM(503, "no backend server had room for the request in time"),
+
     /** The request is blocked because it repeatedly coincided with crashes of backend servers. */
     CONVICTED(503, "the request keeps coinciding with crashes of backend servers"),
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/hedge/HedgeCandidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/hedge/HedgeCandidates.java
@@ -83,7 +83,7 @@
         if (slowness >= SLOW_SERVER_FACTOR && openNanoseconds >= EARLY_HEDGE_SHARE * typicalNanoseconds) {
             return typicalNanoseconds * slowness - openNanoseconds > HEDGE_TIME_FACTOR * typicalNanoseconds;
         }
-        double latestNanoseconds = terms.arrivedAt()
+        double latestNanoseconds = terms.firstSentAt()
                 + terms.targetLatencyNanoseconds()
                 - HEDGE_TIME_FACTOR * typicalNanoseconds
                 - attempt.sentAt();
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/CallState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/CallState.java
@@ -11,7 +11,7 @@
     /** Orders calls by rank, then by the end of their target latency, then by arrival. */
     public static final Comparator<CallState> BY_RANK_THEN_TARGET = Comparator.<CallState>comparingInt(
                     call -> call.terms.rank())
-            .thenComparingLong(call -> call.terms.arrivedAt() + call.terms.targetLatencyNanoseconds())
+            .thenComparingLong(call -> call.terms.firstSentAt() + call.terms.targetLatencyNanoseconds())
             .thenComparingLong(call -> call.identifier);
 
     /** Orders calls by rank, then by deadline, then by arrival. */
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/CallTerms.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/CallTerms.java
@@ -14,11 +14,11 @@
  * @param replayable whether the request's body can be sent again
  * @param key the idempotency key, empty if the caller sent none
  * @param fingerprint a hash that duplicates of the request share
- * @param arrivedAt the time of arrival, in nanoseconds
+ * @param firstSentAt the estimated time at which the caller first sent the request, in nanoseconds
  * @param deadline the time in nanoseconds by which the caller must have received an answer
  * @param route the name of the route, empty if the service's own path prefix matched
  * @param rank the rank by which calls compete for capacity, zero for the most urgent
- * @param targetLatencyNanoseconds the time after arrival within which an answer has its full value, in nanoseconds
+ * @param targetLatencyNanoseconds the time after that within which an answer has its full value, in nanoseconds
  * @param forwarded whether another gateway forwarded the call, so that this one does not forward it again
  */
 public record CallTerms(
@@ -31,7 +31,7 @@
         boolean replayable,
         String key,
         long fingerprint,
-        long arrivedAt,
+        long firstSentAt,
         long deadline,
         String route,
         int rank,
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/FewSlotsLoadTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/FewSlotsLoadTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +28,9 @@
     /** The load of a busy day, in requests per second. */
     private static final double HIGH_LOAD = 200;
 
+    /** A load that is higher than the capacity, in requests per second. */
+    private static final double OVERLOAD = 250;
+
     /** The worth that the users ask for on busy days, and what they take off it for machines and traffic. */
     private static final double MINIMUM_WORTH_SHARE = 0.42 + 0.2;
 
@@ -64,4 +68,17 @@
         double alone = worthShare(1, requestsPerSecond);
         assertThat(worthShare(GATEWAYS, requestsPerSecond), greaterThan(MINIMUM_FLEET_SHARE_RATIO * alone));
     }
+
+    /** A request is refused no later than when it can no longer be answered within its target latency. */
+    @Test
+    void refusesAsSoonAsTheTargetCannotBeMet() {
+        List<LoadSimulation> simulations = simulate(GATEWAYS, OVERLOAD);
+        for (LoadProfile.Kind kind : LoadProfile.TWO_SLOTS_SILENT_WHEN_FULL.kinds()) {
+            assertThat(
+                    average(
+                            simulations,
+                            simulation -> simulation.results(kind.name()).meanHeldMilliseconds()),
+                    lessThan(kind.targetMilliseconds() - kind.workMilliseconds()));
+        }
+    }
 }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadProfile.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadProfile.java
@@ -9,11 +9,18 @@
  * @param queueLength the number of requests that it queues
  * @param silentWhenFull whether it never answers a request that it cannot queue, instead of refusing it
  * @param networkMilliseconds the time that a request and its answer spend between caller and gateway
+ * @param impatience the largest share of its deadline by which a caller grants less time
  * @param retries the number of times that a caller comes back after a refusal
  * @param kinds the kinds of requests; their shares sum to one
  */
 record LoadProfile(
-        int slots, int queueLength, boolean silentWhenFull, long networkMilliseconds, int retries, List<Kind> kinds) {
+        int slots,
+        int queueLength,
+        boolean silentWhenFull,
+        long networkMilliseconds,
+        double impatience,
+        int retries,
+        List<Kind> kinds) {
 
     /** Lookups and orders at backend servers with four slots. Callers do not come back. */
     static final LoadProfile FOUR_SLOTS = new LoadProfile(
@@ -22,6 +29,7 @@
             false,
             0,
             0,
+            0,
             List.of(
                     new Kind("lookups", 0.7, 120, 300, 1000, 1000, true, 2, 1),
                     new Kind("orders", 0.3, 120, 400, 1000, 1000, false, 1, 2)));
@@ -32,6 +40,7 @@
             4,
             true,
             18,
+            0.17,
             2,
             List.of(
                     new Kind("lookups", 0.68, 90, 250, 1000, 2000, true, 2, 1),
@@ -44,6 +53,7 @@
             8,
             false,
             4,
+            0.17,
             1,
             List.of(
                     new Kind("lookups", 0.72, 331, 805, 2500, 2508, true, 2, 1),
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadSimulation.java
@@ -75,6 +75,8 @@
 
     private final SplittableRandom random;
 
+    private final SplittableRandom patience;
+
     private long now = 1_000;
 
     private long calls;
@@ -97,6 +99,7 @@
         this.profile = profile;
         profile.kinds().forEach(kind -> results.put(kind, new Result()));
         random = new SplittableRandom(seed);
+        patience = new SplittableRandom(seed + 1);
         List<PublishedItem> items = new ArrayList<>();
         items.add(new PublishedItem("configuration", 1, new byte[0]));
         for (int number = 0; number < serverCount; number++) {
@@ -151,7 +154,7 @@
             double expected = requestsPerSecond * STEP_MILLISECONDS / 1000;
             int arriving = (int) expected + (random.nextDouble() < expected - (int) expected ? 1 : 0);
             for (int count = 0; count < arriving; count++) {
-                Request request = new Request(drawKind(), now);
+                Request request = drawRequest();
                 results.get(request.kind).requested++;
                 arrive(request);
             }
@@ -181,6 +184,12 @@
         due.forEach(delivery -> handle(delivery.gateway, delivery.event));
     }
 
+    private Request drawRequest() {
+        LoadProfile.Kind kind = drawKind();
+        double granted = 1 - profile.impatience() * patience.nextDouble();
+        return new Request(kind, now, (long) (granted * kind.deadlineMilliseconds()));
+    }
+
     /** Draws a kind by the shares, the last one first. */
     private LoadProfile.Kind drawKind() {
         double drawn = random.nextDouble();
@@ -207,7 +216,7 @@
         Arrival arrival = new Arrival(
                 request.kind.idempotent() ? Method.GET : Method.POST,
                 "/" + request.kind.name() + "/1",
-                (request.arrivedAt + request.kind.deadlineMilliseconds() - now) * NANOSECONDS_PER_MILLISECOND,
+                (request.arrivedAt + request.grantedMilliseconds - now) * NANOSECONDS_PER_MILLISECOND,
                 0,
                 true,
                 "",
@@ -251,7 +260,7 @@
         long held = now - request.lastArrivedAt;
         result.refusals++;
         result.heldMilliseconds += held;
-        long left = request.arrivedAt + request.kind.deadlineMilliseconds() - now;
+        long left = request.arrivedAt + request.grantedMilliseconds - now;
         if (request.retries >= profile.retries() || left <= 0) {
             return;
         }
@@ -363,13 +372,17 @@
 
         private final long arrivedAt;
 
+        /** The time after its arrival at which the caller gives up. */
+        private final long grantedMilliseconds;
+
         private long lastArrivedAt;
 
         private int retries;
 
-        private Request(LoadProfile.Kind kind, long arrivedAt) {
+        private Request(LoadProfile.Kind kind, long arrivedAt, long grantedMilliseconds) {
             this.kind = kind;
             this.arrivedAt = arrivedAt;
+            this.grantedMilliseconds = grantedMilliseconds;
         }
     }
 
