--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -11,6 +11,7 @@
 import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.coordination.publication.PublicationPoller;
+import org.chivecourse.coordination.publication.PublicationRead;
 import org.chivecourse.coordination.publication.PublishedState;
 import org.chivecourse.state.fleet.AnsweredRequest;
 import org.chivecourse.state.fleet.Crash;
@@ -72,6 +73,9 @@
     /** The requests that are suspected or blocked because backend servers crashed on them. */
     private final PoisonRequests poisonRequests;
 
+    /** The answers of the publisher to other gateways. */
+    private final OtherAnswers otherAnswers = new OtherAnswers();
+
     /** The time of the first event, in nanoseconds. */
     private long startedAt;
 
@@ -156,16 +160,42 @@
             sink.decide(new Decision.UseServers(services.backendServers()));
         }
         schedule.sendDueDigests(now, sink);
-        poller.startDueCall(
-                () -> !stopping && PublicationWatcherElection.INSTANCE.isWatcher(peers, now),
-                publishedState.revision(),
-                now,
-                sink);
+        poller.startDueCall(() -> dueRead(now), publishedState.revision(), now, sink);
         auditPublisherReachability(now, sink);
         publishedState.removeExpiredServers(now, sink);
         spread.startDuePull(now, sink);
     }
 
+    /**
+     * Returns how this gateway should read from the publisher.
+     *
+     * @param now the current time in nanoseconds
+     * @return the way to read, {@link PublicationRead#NONE} if others do so
+     */
+    private PublicationRead dueRead(long now) {
+        if (stopping) {
+            return PublicationRead.NONE;
+        }
+        if (PublicationWatcherElection.INSTANCE.isWatcher(peers, now)) {
+            return PublicationWatcherElection.INSTANCE.position(peers, now) == 0
+                    ? PublicationRead.WATCH
+                    : PublicationRead.watchBetween(otherAnswers.millisecondsSince(now));
+        }
+        long sinceAnswer = publishedState.outageDetector().millisecondsSinceAnswer(now);
+        return StandbyReaders.INSTANCE.isDue(peers, sinceAnswer, now) ? PublicationRead.ONCE : PublicationRead.NONE;
+    }
+
+    /**
+     * Reports an answer of the publisher to the other gateways that would read if there was none.
+     *
+     * @param now the current time in nanoseconds
+     * @param sink receives the resulting decisions
+     */
+    private void reportAnswer(long now, DecisionSink sink) {
+        DigestSchedule.send(
+                StandbyReaders.INSTANCE.others(peers, now), composeDigest(Content.STATUS_ONLY, now), now, sink);
+    }
+
     /**
      * Sends pending observations on which the next choices of other gateways depend.
      *
@@ -218,6 +248,7 @@
                     .outageDetector()
                     .recordAnswer(
                             now - digest.publisherStatus().lastAnswerAgeMilliseconds() * NANOSECONDS_PER_MILLISECOND);
+            otherAnswers.record(digest.publisherStatus(), now);
         }
         boolean local = peers.isLocal(sender);
         spread.receive(digest, local, now, sink);
@@ -310,6 +341,7 @@
         long previousRevision = publishedState.revision();
         publishedState.replace(event.items(), event.revision(), PublicationSpread.PUBLISHER, now, sink);
         spread.broadcast(previousRevision, now, sink);
+        reportAnswer(now, sink);
     }
 
     /**
@@ -332,6 +364,7 @@
                 sink);
         spread.broadcast(previousRevision, now, sink);
         runDueTasks(now, sink);
+        reportAnswer(now, sink);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationWatcherElection.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationWatcherElection.java
@@ -37,6 +37,28 @@
         return lowerRankedCount < WATCHER_COUNT || lowerRankedLocalCount == 0 && !enoughOthersWatch(peers, now);
     }
 
+    /**
+     * Returns the position of this gateway in rank order among the live gateways that reach the publisher.
+     *
+     * @param peers the other gateways of the fleet
+     * @param now the current time in nanoseconds
+     * @return the number of others that rank below this one
+     */
+    int position(FleetPeers peers, long now) {
+        int ownRank = rank(peers.self().name());
+        int before = 0;
+        for (FleetPeer peer : peers.live(now)) {
+            boolean lower = rank(peer.member().name()) < ownRank;
+            before += lower && reachesPublisher(peer) ? 1 : 0;
+        }
+        return before;
+    }
+
+    /** Returns whether a gateway reaches the publisher, as far as it knows. */
+    static boolean reachesPublisher(FleetPeer peer) {
+        return peer.latestDigest().publisherStatus().reached();
+    }
+
     /**
      * Returns whether enough other gateways report that they watch, so that this one receives changes from them.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublicationPoller.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublicationPoller.java
@@ -1,6 +1,6 @@
 package org.chivecourse.coordination.publication;
 
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 
@@ -65,12 +65,12 @@
      * Cancels a call that has timed out and starts the next one if it is due. A gateway that knows no items, or whose
      * last call failed, reads even if this is not requested.
      *
-     * @param requested returns whether this gateway should watch the publisher
+     * @param requested returns how this gateway should read from the publisher
      * @param revision the revision up to which all items are known, zero if none are
      * @param now the current time in nanoseconds
      * @param sink receives the resulting decisions
      */
-    public void startDueCall(BooleanSupplier requested, long revision, long now, DecisionSink sink) {
+    public void startDueCall(Supplier<PublicationRead> requested, long revision, long now, DecisionSink sink) {
         if (inFlight && now - timeoutAt >= 0) {
             sink.decide(new Decision.CancelPublication(callNumber));
             failCall(callNumber, false, now);
@@ -78,8 +78,9 @@
         if (inFlight || now - nextCallAt < 0) {
             return;
         }
-        boolean readDue = failures > 0 || revision == 0 || requested.getAsBoolean();
-        if (!readDue) {
+        boolean readDue = failures > 0 || revision == 0;
+        PublicationRead read = readDue ? PublicationRead.WATCH : requested.get();
+        if (read.equals(PublicationRead.NONE)) {
             return;
         }
         inFlight = true;
@@ -89,7 +90,8 @@
             sink.decide(new Decision.ListPublication(callNumber, staleAllowed));
             return;
         }
-        int waitMilliseconds = failures > 0 || !hasSucceeded ? 1 : WATCH_WAIT_MILLISECONDS;
+        PublicationRead allowed = failures > 0 || !hasSucceeded ? PublicationRead.ONCE : read;
+        int waitMilliseconds = allowed.waitMilliseconds();
         timeoutAt = now + waitMilliseconds * NANOSECONDS_PER_MILLISECOND + CALL_MARGIN_NANOSECONDS;
         sink.decide(new Decision.WatchPublication(callNumber, revision, waitMilliseconds));
     }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetExchangeTest.java
@@ -18,6 +18,8 @@
 import org.chivecourse.state.server.LoadReport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Runs a fleet of 13 gateways in three data centres with a simulated publisher and network. Guards against changes,
@@ -349,6 +351,32 @@
             }
         }
 
+        /**
+         * A third of the gateways, in some cases both that watch the publisher, lose it without a sign while they still
+         * reach the others. All must remove a server that is withdrawn at any time after that within the drain limit.
+         */
+        @ParameterizedTest
+        @ValueSource(ints = {0, 400, 1200, 2500})
+        void removesWithdrawnServerInTimeWhenWatchersLosePublisherSilently(int millisecondsLater) {
+            for (int first = 0; first < HOSTS; first++) {
+                for (int step = 1; step < HOSTS; step++) {
+                    FleetNetwork network = startedFleet();
+                    for (int count = 0; count < HOSTS / 3; count++) {
+                        network.setDisconnectedFromPublisher((first + count * step) % HOSTS, true);
+                    }
+                    network.advance(millisecondsLater);
+                    network.publish(new PublishedItem("server i1", 0, null));
+                    network.advance(DRAIN_LIMIT_MILLISECONDS);
+                    for (int number = 0; number < HOSTS; number++) {
+                        assertThat(
+                                "host " + number,
+                                network.core(number).services().server("i1"),
+                                nullValue());
+                    }
+                }
+            }
+        }
+
         @Test
         void removesWithdrawnServerImmediatelyWithoutOutage() {
             FleetNetwork network = startedFleet();
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/publication/PublicationPollerTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/publication/PublicationPollerTest.java
@@ -27,7 +27,8 @@
         List<Decision> decisions = new ArrayList<>();
         for (long passed = 0; passed < milliseconds; passed += 10) {
             now += 10 * NANOSECONDS_PER_MILLISECOND;
-            poller.startDueCall(() -> requested, revision, now, decisions::add);
+            poller.startDueCall(
+                    () -> requested ? PublicationRead.WATCH : PublicationRead.NONE, revision, now, decisions::add);
         }
         return decisions;
     }
@@ -69,6 +70,15 @@
         assertThat(second.waitMilliseconds(), equalTo(1));
     }
 
+    @Test
+    void singleReadRequestsMinimumWait() {
+        completeListing();
+        List<Decision> decisions = new ArrayList<>();
+        poller.startDueCall(() -> PublicationRead.ONCE, 5, now, decisions::add);
+        Decision.WatchPublication read = (Decision.WatchPublication) decisions.get(0);
+        assertThat(read.waitMilliseconds(), equalTo(1));
+    }
+
     @Test
     void publisherIsUnreachableAfterTwoFailures() {
         completeListing();
