--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -10,8 +10,6 @@
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
-import org.chivecourse.coordination.publication.PublicationPoller;
-import org.chivecourse.coordination.publication.PublicationRead;
 import org.chivecourse.coordination.publication.PublishedState;
 import org.chivecourse.state.fleet.AnsweredRequest;
 import org.chivecourse.state.fleet.Crash;
@@ -34,9 +32,6 @@
      */
     private static final long CATCH_UP_TIMEOUT_NANOSECONDS = 1_500_000_000L;
 
-    /** The number of nanoseconds in a millisecond. */
-    private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
-
     /** The number of nanoseconds in a second, which is also the interval between two removals of silent peers. */
     private static final long NANOSECONDS_PER_SECOND = 1_000_000_000L;
 
@@ -52,8 +47,8 @@
     /** Exchanges published items with the other gateways. */
     private final PublicationSpread spread;
 
-    /** Schedules the calls that read from the publisher. */
-    private final PublicationPoller poller = new PublicationPoller();
+    /** The calls that read from the publisher. */
+    private final PublisherReads publisherReads;
 
     /** The other gateways that take calls which this one cannot send. */
     private final ForwardingPeers forwardingPeers;
@@ -73,9 +68,6 @@
     /** The requests that are suspected or blocked because backend servers crashed on them. */
     private final PoisonRequests poisonRequests;
 
-    /** The answers of the publisher to other gateways. */
-    private final OtherAnswers otherAnswers = new OtherAnswers();
-
     /** The time of the first event, in nanoseconds. */
     private long startedAt;
 
@@ -88,9 +80,6 @@
     /** Whether this gateway is stopping, so that it no longer watches the publisher. */
     private boolean stopping;
 
-    /** Whether the publisher was reachable according to the last audit record; {@code true} before the first one. */
-    private boolean reachableAtLastAudit = true;
-
     /**
      * Creates an exchange without peers.
      *
@@ -112,6 +101,7 @@
         this.poisonRequests = poisonRequests;
         this.forwardingPeers = forwardingPeers;
         peers = new FleetPeers(new Member(settings.name(), settings.fleet().address(), settings.dataCentre()));
+        publisherReads = new PublisherReads(peers, publishedState);
         requestLimits = new RequestLimitExchange(peers, services);
         composer = new DigestComposer(settings, peers, poisonRequests);
         spread = new PublicationSpread(peers, publishedState, this::composeDigest);
@@ -160,38 +150,24 @@
             sink.decide(new Decision.UseServers(services.backendServers()));
         }
         schedule.sendDueDigests(now, sink);
-        poller.startDueCall(() -> dueRead(now), publishedState.revision(), now, sink);
-        auditPublisherReachability(now, sink);
+        publisherReads.startDueCall(!stopping, now, sink);
+        publisherReads.auditReachability(sink);
         publishedState.removeExpiredServers(now, sink);
         spread.startDuePull(now, sink);
     }
 
     /**
-     * Returns how this gateway should read from the publisher.
-     *
-     * @param now the current time in nanoseconds
-     * @return the way to read, {@link PublicationRead#NONE} if others do so
-     */
-    private PublicationRead dueRead(long now) {
-        if (stopping) {
-            return PublicationRead.NONE;
-        }
-        if (PublicationWatcherElection.INSTANCE.isWatcher(peers, now)) {
-            return PublicationWatcherElection.INSTANCE.position(peers, now) == 0
-                    ? PublicationRead.WATCH
-                    : PublicationRead.watchBetween(otherAnswers.millisecondsSince(now));
-        }
-        long sinceAnswer = publishedState.outageDetector().millisecondsSinceAnswer(now);
-        return StandbyReaders.INSTANCE.isDue(peers, sinceAnswer, now) ? PublicationRead.ONCE : PublicationRead.NONE;
-    }
-
-    /**
-     * Reports an answer of the publisher to the other gateways that would read if there was none.
+     * Reports an answer of the publisher to the other gateways that would read if there was none. An answer with
+     * changes needs no report, since the changes are told.
      *
+     * @param previousRevision the revision before the answer
      * @param now the current time in nanoseconds
      * @param sink receives the resulting decisions
      */
-    private void reportAnswer(long now, DecisionSink sink) {
+    private void reportAnswer(long previousRevision, long now, DecisionSink sink) {
+        if (publishedState.revision() != previousRevision) {
+            return;
+        }
         DigestSchedule.send(
                 StandbyReaders.INSTANCE.others(peers, now), composeDigest(Content.STATUS_ONLY, now), now, sink);
     }
@@ -206,26 +182,6 @@
         schedule.sendUrgentObservations(now, sink);
     }
 
-    /**
-     * Writes an audit record when the publisher becomes unreachable and when it becomes reachable again.
-     *
-     * @param now the current time in nanoseconds
-     * @param sink receives the audit record
-     */
-    private void auditPublisherReachability(long now, DecisionSink sink) {
-        if (poller.publisherReachable() == reachableAtLastAudit) {
-            return;
-        }
-        reachableAtLastAudit = poller.publisherReachable();
-        sink.decide(new Decision.Audit(new Decision.Change(
-                Decision.Subject.PUBLISHER,
-                settings.name(),
-                reachableAtLastAudit ? "lost" : "reached",
-                reachableAtLastAudit ? "reached" : "lost",
-                "reads of published items",
-                publishedState.revision())));
-    }
-
     /**
      * Applies a digest: published items, observations, crashes and blocked requests. Observations from a gateway of
      * this data centre are queued for other data centres, those from another data centre for this one. A digest that is
@@ -243,13 +199,7 @@
         if (digest.replyRequested()) {
             DigestSchedule.send(List.of(sender), composeDigest(Content.REPLY, now), now, sink);
         }
-        if (digest.publisherStatus().lastAnswerAgeMilliseconds() >= 0) {
-            publishedState
-                    .outageDetector()
-                    .recordAnswer(
-                            now - digest.publisherStatus().lastAnswerAgeMilliseconds() * NANOSECONDS_PER_MILLISECOND);
-            otherAnswers.record(digest.publisherStatus(), now);
-        }
+        publisherReads.recordReport(digest.publisherStatus(), now);
         boolean local = peers.isLocal(sender);
         spread.receive(digest, local, now, sink);
         for (Observation observation : digest.observations()) {
@@ -334,14 +284,13 @@
      * @param sink receives the resulting decisions
      */
     public void applyListing(Event.PublicationListed event, long now, DecisionSink sink) {
-        if (!poller.completeCall(event.call(), now)) {
+        if (!publisherReads.completeCall(event.call(), now)) {
             return;
         }
-        publishedState.outageDetector().recordAnswer(now);
         long previousRevision = publishedState.revision();
         publishedState.replace(event.items(), event.revision(), PublicationSpread.PUBLISHER, now, sink);
         spread.broadcast(previousRevision, now, sink);
-        reportAnswer(now, sink);
+        reportAnswer(previousRevision, now, sink);
     }
 
     /**
@@ -352,10 +301,9 @@
      * @param sink receives the resulting decisions
      */
     public void applyWatchedChanges(Event.PublicationChanged event, long now, DecisionSink sink) {
-        if (!poller.completeCall(event.call(), now)) {
+        if (!publisherReads.completeCall(event.call(), now)) {
             return;
         }
-        publishedState.outageDetector().recordAnswer(now);
         long previousRevision = publishedState.revision();
         publishedState.applyChanges(
                 new FleetDigest.Changes(event.after(), event.revision(), event.items()),
@@ -364,7 +312,7 @@
                 sink);
         spread.broadcast(previousRevision, now, sink);
         runDueTasks(now, sink);
-        reportAnswer(now, sink);
+        reportAnswer(previousRevision, now, sink);
     }
 
     /**
@@ -374,29 +322,20 @@
      * @param now the current time in nanoseconds
      */
     public void recordReadFailure(Event.PublicationFailed event, long now) {
-        poller.failCall(event.call(), event.forgotten(), now);
+        publisherReads.failCall(event, now);
     }
 
     /**
-     * Composes a digest with the current publisher status of this gateway. Where only bridges receive digests from
-     * other data centres, it reports the last answer of the publisher to any gateway, otherwise only the last answer to
-     * this one.
+     * Composes a digest with the current publisher status of this gateway.
      *
      * @param content what the digest holds beyond the status of this gateway
      * @param now the current time in nanoseconds
      * @return the digest
      */
     private FleetDigest composeDigest(Content content, long now) {
-        FleetDigest.PublisherStatus publisherStatus = new FleetDigest.PublisherStatus(
-                publishedState.revision(),
-                poller.publisherReachable(),
-                poller.inFlight() && poller.succeededRecently(now),
-                BridgeElection.INSTANCE.mustForward(peers)
-                        ? publishedState.outageDetector().millisecondsSinceAnswer(now)
-                        : poller.millisecondsSinceAnswer(now));
         return composer.compose(
                 content,
-                publisherStatus,
+                publisherReads.status(now),
                 publishedState.registry().size() > 0 && !services.links().anyLost(),
                 now);
     }
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
@@ -0,0 +1,128 @@
+package org.chivecourse.coordination.fleet;
+
+import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.event.Event;
+import org.chivecourse.coordination.publication.PublicationPoller;
+import org.chivecourse.coordination.publication.PublicationRead;
+import org.chivecourse.coordination.publication.PublishedState;
+import org.chivecourse.state.fleet.FleetDigest;
+
+/** Decides when and how this gateway reads from the publisher, and what it reports to other gateways of that. */
+final class PublisherReads {
+
+    /** The number of nanoseconds in a millisecond. */
+    private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
+
+    /** The other gateways of the fleet. */
+    private final FleetPeers peers;
+
+    /** The published items. */
+    private final PublishedState publishedState;
+
+    /** Schedules the calls that read from the publisher. */
+    private final PublicationPoller poller = new PublicationPoller();
+
+    /** The answers of the publisher to other gateways. */
+    private final OtherAnswers otherAnswers = new OtherAnswers();
+
+    /** Whether the publisher was reachable according to the last audit record; {@code true} before the first one. */
+    private boolean reachableAtLastAudit = true;
+
+    /**
+     * Creates reads of which none has started.
+     *
+     * @param peers the other gateways of the fleet
+     * @param publishedState the published items
+     */
+    PublisherReads(FleetPeers peers, PublishedState publishedState) {
+        this.peers = peers;
+        this.publishedState = publishedState;
+    }
+
+    /**
+     * Times out the call in flight and starts the next one, if they are due.
+     *
+     * @param allowed whether this gateway may watch the publisher for others
+     * @param now the current time in nanoseconds
+     * @param sink receives the resulting decisions
+     */
+    void startDueCall(boolean allowed, long now, DecisionSink sink) {
+        poller.startDueCall(() -> allowed ? dueRead(now) : PublicationRead.NONE, publishedState.revision(), now, sink);
+    }
+
+    /** Returns how this gateway should read, {@link PublicationRead#NONE} if others do so. */
+    private PublicationRead dueRead(long now) {
+        if (PublicationWatcherElection.INSTANCE.isWatcher(peers, now)) {
+            return PublicationWatcherElection.INSTANCE.position(peers, now) == 0
+                    ? PublicationRead.WATCH
+                    : PublicationRead.watchBetween(otherAnswers.millisecondsSince(now));
+        }
+        long sinceAnswer = publishedState.outageDetector().millisecondsSinceAnswer(now);
+        return StandbyReaders.INSTANCE.isDue(peers, sinceAnswer, now) ? PublicationRead.ONCE : PublicationRead.NONE;
+    }
+
+    /**
+     * Records the success of a call. The result of a call that was cancelled is ignored.
+     *
+     * @param call the number of the call
+     * @param now the current time in nanoseconds
+     * @return {@code true} if its result has to be applied
+     */
+    boolean completeCall(long call, long now) {
+        boolean completed = poller.completeCall(call, now);
+        if (completed) {
+            publishedState.outageDetector().recordAnswer(now);
+        }
+        return completed;
+    }
+
+    /**
+     * Records that a call failed.
+     *
+     * @param event the failure
+     * @param now the current time in nanoseconds
+     */
+    void failCall(Event.PublicationFailed event, long now) {
+        poller.failCall(event.call(), event.forgotten(), now);
+    }
+
+    /** Records what another gateway reports of the publisher. */
+    void recordReport(FleetDigest.PublisherStatus status, long now) {
+        if (status.lastAnswerAgeMilliseconds() < 0) {
+            return;
+        }
+        long answeredAt = now - status.lastAnswerAgeMilliseconds() * NANOSECONDS_PER_MILLISECOND;
+        publishedState.outageDetector().recordAnswer(answeredAt);
+        otherAnswers.record(status, now);
+    }
+
+    /**
+     * Returns what this gateway reports of the publisher. Where only bridges receive digests from other data centres,
+     * that is the last answer of the publisher to any gateway, otherwise only the last answer to this one.
+     */
+    FleetDigest.PublisherStatus status(long now) {
+        return new FleetDigest.PublisherStatus(
+                publishedState.revision(),
+                poller.publisherReachable(),
+                poller.inFlight() && poller.succeededRecently(now),
+                BridgeElection.INSTANCE.mustForward(peers)
+                        ? publishedState.outageDetector().millisecondsSinceAnswer(now)
+                        : poller.millisecondsSinceAnswer(now));
+    }
+
+    /** Writes an audit record when the publisher becomes unreachable and when it becomes reachable again. */
+    void auditReachability(DecisionSink sink) {
+        if (poller.publisherReachable() == reachableAtLastAudit) {
+            return;
+        }
+        reachableAtLastAudit = poller.publisherReachable();
+        sink.decide(new Decision.Audit(new Decision.Change(
+                Decision.Subject.PUBLISHER,
+                peers.self().name(),
+                reachableAtLastAudit ? "lost" : "reached",
+                reachableAtLastAudit ? "reached" : "lost",
+                "reads of published items",
+                publishedState.revision())));
+    }
+}
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/call/RetryAfterDelayTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/call/RetryAfterDelayTest.java
@@ -60,4 +60,18 @@
     void namesBoundedTimeForTinyLimit() {
         assertThat(milliseconds(0, 0), both(greaterThanOrEqualTo(15_000L)).and(lessThanOrEqualTo(45_000L)));
     }
+
+    /** Callers that were refused together must not come back together, nor before those that arrived meanwhile. */
+    @Test
+    void spreadsCallersThatFoundNoRoomAroundTargetLatency() {
+        long least = Long.MAX_VALUE;
+        long most = 0;
+        for (int number = 0; number < 100; number++) {
+            long milliseconds = delay.milliseconds(TERMS, Reason.NO_ROOM, service, HOSTS, NOW);
+            least = Math.min(least, milliseconds);
+            most = Math.max(most, milliseconds);
+        }
+        assertThat(least, both(greaterThanOrEqualTo(150L)).and(lessThanOrEqualTo(200L)));
+        assertThat(most, both(greaterThanOrEqualTo(400L)).and(lessThanOrEqualTo(450L)));
+    }
 }
