Let the second watcher watch for the whole time after a change

Cause: both watchers are answered together by a change; the second one then watched for 1.5 s to come midway again, and its report of that answer, 187 bytes to six readers, fell into the time in which the change spreads.

Change: it watches for the whole time after a change, and comes midway with the watch after that.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
@@ -26,6 +26,9 @@
     /** The answers of the publisher to other gateways. */
     private final OtherAnswers otherAnswers = new OtherAnswers();
 
+    /** The revision of the published items when this gateway last started to watch. */
+    private long revisionAtLastWatch;
+
     /** Whether the publisher was reachable according to the last audit record; {@code true} before the first one. */
     private boolean reachableAtLastAudit = true;
 
@@ -54,14 +57,24 @@
     /** Returns how this gateway should read, {@link PublicationRead#NONE} if others do so. */
     private PublicationRead dueRead(long now) {
         if (PublicationWatcherElection.INSTANCE.isWatcher(peers, now)) {
-            return PublicationWatcherElection.INSTANCE.position(peers, now) == 0
-                    ? PublicationRead.WATCH
-                    : PublicationRead.watchBetween(otherAnswers.millisecondsSince(now));
+            return dueWatch(now);
         }
         long sinceAnswer = publishedState.outageDetector().millisecondsSinceAnswer(now);
         return StandbyReaders.INSTANCE.isDue(peers, sinceAnswer, now) ? PublicationRead.ONCE : PublicationRead.NONE;
     }
 
+    /**
+     * Returns how this gateway should watch: midway between the answers to the first watcher, unless it is the first,
+     * or changes have just been told to all and their spread is not to be loaded further.
+     */
+    private PublicationRead dueWatch(long now) {
+        boolean changed = publishedState.revision() != revisionAtLastWatch;
+        revisionAtLastWatch = publishedState.revision();
+        return changed || PublicationWatcherElection.INSTANCE.position(peers, now) == 0
+                ? PublicationRead.WATCH
+                : PublicationRead.watchBetween(otherAnswers.millisecondsSince(now));
+    }
+
     /**
      * Records the success of a call. The result of a call that was cancelled is ignored.
      *
