Bound what exchanges hold and what framing costs, whatever the other side writes

Ruled out: limiting the rate of requests before the writing operator (it asks for as much as before); an operator of the library that maps one buffer at a time released buffers twice when a connection failed with buffers queued. Change: PacedBody requests the next buffer only when the connection accepts writes, in both directions; stalled transfers and bodies that are kept whole have a quarter of the process's memory each, beyond which the longest stalled ends visibly cut, and bodies are streamed in place of kept; reads are 8 kB, two a turn; parts of a body of one turn are merged; a connection whose framing exceeds its content by 12 kB is closed.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -133,7 +133,7 @@
             registry.metrics().recordAttempt(send.number());
         }
         exchange.setRequestHeaders(request, send);
-        return exchange.sendBody(outbound);
+        return exchange.sendBody(outbound, connection.channel());
     }
 
     /**
@@ -167,16 +167,14 @@
             BackendConnections.closeAfterAnswer(answering);
         }
         long statedLength = statedLength();
-        if (bodyless() || statedLength < 0 || statedLength > MAXIMUM_BUFFERED_BODY_BYTES) {
+        if (bodyless()
+                || statedLength < 0
+                || statedLength > MAXIMUM_BUFFERED_BODY_BYTES
+                || !exchange.reserve(statedLength)) {
             driver.handle(new Event.AnswerStarted(send.attempt(), answer));
             return answerConsumed.asMono();
         }
-        return answering
-                .inbound()
-                .receive()
-                .aggregate()
-                .asByteArray()
-                .defaultIfEmpty(new byte[0])
+        return WholeBody.read(answering.inbound().receive(), (int) statedLength)
                 .flatMap(body -> handleBufferedBody(body, statedLength, answer));
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -109,7 +109,9 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .responseTimeout(settings.stallTimeout())
                 .disableRetry(true)
-                .doOnChannelInit((observer, channel, remote) -> StrayBytesGuard.addTo(channel))
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ConnectionOptions.receiveAllocator())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionOptions.watermark())
+                .doOnChannelInit((observer, channel, remote) -> InboundGuards.addToBackendServer(channel))
                 .headers(headers -> headers.remove(HttpHeaderNames.USER_AGENT));
         SslContext context = tls.get();
         return new PooledClient(
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -9,6 +10,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.configuration.model.RefusalSignal;
@@ -62,6 +65,9 @@
     /** Whether the exchange has ended. */
     private final AtomicBoolean ended = new AtomicBoolean();
 
+    /** The number of bytes that are reserved for answers that are kept whole. */
+    private final AtomicLong reservedBytes = new AtomicLong();
+
     /**
      * Creates an exchange.
      *
@@ -117,9 +123,27 @@
         }
         registry.metrics().recordEnd(System.nanoTime() - arrivedAtNanoseconds);
         registry.removeExchange(call);
+        registry.memory().buffers().release(reservedBytes.getAndSet(0));
         driver.handle(new Event.CallerDisconnected(call));
     }
 
+    /**
+     * Reserves memory for an answer that is kept whole, until the exchange ends.
+     *
+     * @param bytes the size of the answer's body
+     * @return {@code false} if there is not that much left or the exchange has ended
+     */
+    boolean reserve(long bytes) {
+        if (ended.get() || !registry.memory().buffers().reserve(bytes)) {
+            return false;
+        }
+        reservedBytes.addAndGet(bytes);
+        if (ended.get()) {
+            registry.memory().buffers().release(reservedBytes.getAndSet(0));
+        }
+        return true;
+    }
+
     /** Returns the time since the request arrived, in milliseconds. */
     long elapsedMilliseconds() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedAtNanoseconds);
@@ -210,11 +234,12 @@
      * Sends the body of the request to a backend server.
      *
      * @param outbound the connection
+     * @param channel the channel of the connection
      * @return completes when the request is written
      */
-    Publisher<Void> sendBody(NettyOutbound outbound) {
+    Publisher<Void> sendBody(NettyOutbound outbound, Channel channel) {
         if (request.replayableBody() == null) {
-            return outbound.send(request.streamedBody());
+            return outbound.send(registry.memory().pace(request.streamedBody(), channel), buffer -> true);
         }
         if (request.replayableBody().length == 0) {
             return outbound;
@@ -268,11 +293,18 @@
         if (attempt.bodyless()) {
             return body.doOnNext(ByteBuf::release).then(Mono.defer(() -> Mono.from(response.send())));
         }
-        return response.send(body, buffer -> true)
+        return response.send(registry.memory().pace(body, channel()), buffer -> true)
                 .then()
                 .doOnSuccess(done -> registry.metrics().recordDelivery());
     }
 
+    /** Returns the channel of the caller's connection. */
+    private Channel channel() {
+        AtomicReference<Channel> channel = new AtomicReference<>();
+        response.withConnection(connection -> channel.set(connection.channel()));
+        return channel.get();
+    }
+
     /**
      * Answers the call with an error that the gateway generates, unless another answer has been decided.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -1,6 +1,7 @@
 package org.chivecourse.transport.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.ssl.SslContext;
@@ -104,6 +105,9 @@
                 .doOnConnection(connection -> connections.add(connection.channel()))
                 .idleTimeout(settings.idleTimeout())
                 .readTimeout(settings.readTimeout())
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ConnectionOptions.receiveAllocator())
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionOptions.watermark())
+                .doOnChannelInit((observer, channel, remote) -> InboundGuards.addToCaller(channel))
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(settings.maximumHeaderBytes())
                         .maxInitialLineLength(settings.maximumHeaderBytes())
                         .allowDuplicateContentLengths(false))
@@ -214,16 +218,16 @@
         if (size > settings.maximumBodyBytes()) {
             return refuse(response, Reason.BODY_TOO_LARGE);
         }
-        if (chunked || size > settings.maximumReplayableBodyBytes()) {
-            return startExchange(request, response, method, null);
-        }
-        if (size == 0) {
+        if (size == 0 && !chunked) {
             return startExchange(request, response, method, new byte[0]);
         }
-        return request.receive()
-                .aggregate()
-                .asByteArray()
-                .flatMap(body -> startExchange(request, response, method, body));
+        BufferBudget buffers = registry.memory().buffers();
+        if (chunked || size > settings.maximumReplayableBodyBytes() || !buffers.reserve(size)) {
+            return startExchange(request, response, method, null);
+        }
+        return WholeBody.read(request.receive(), (int) size)
+                .flatMap(body -> startExchange(request, response, method, body))
+                .doFinally(signal -> buffers.release(size));
     }
 
     /**
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMemory.java
@@ -0,0 +1,46 @@
+package org.chivecourse.transport.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import reactor.core.publisher.Flux;
+
+/**
+ * The memory that exchanges may hold together, whatever callers and backend servers do.
+ *
+ * @param buffers the memory of the bodies that are kept whole
+ * @param stalledTransfers the bodies whose recipient does not read
+ */
+public record ExchangeMemory(BufferBudget buffers, StalledTransfers stalledTransfers) {
+
+    /** The part of the memory that the process was given for each of the two: a quarter. */
+    private static final int PARTS = 4;
+
+    /**
+     * Returns the memory of a process.
+     *
+     * @param maximumBytes the memory that the process was given, in bytes
+     * @param metrics records transfers that were ended
+     * @return the memory that its exchanges may hold
+     */
+    public static ExchangeMemory ofProcess(long maximumBytes, ExchangeMetrics metrics) {
+        return new ExchangeMemory(
+                new BufferBudget(maximumBytes / PARTS), new StalledTransfers(maximumBytes / PARTS, metrics));
+    }
+
+    /** Returns the number of bytes that are held now, which metrics report. */
+    public long heldBytes() {
+        return buffers.reservedBytes() + stalledTransfers.heldBytes();
+    }
+
+    /**
+     * Returns a body that is forwarded no faster than the connection that it is written to accepts it.
+     *
+     * @param body the buffers
+     * @param destination the connection
+     * @return the buffers, followed by an error if the connection has been closed, or accepts nothing while the memory
+     *     is needed for others
+     */
+    Flux<ByteBuf> pace(Flux<ByteBuf> body, Channel destination) {
+        return new PacedBody(body, destination, stalledTransfers);
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMetrics.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMetrics.java
@@ -37,6 +37,9 @@
     /** The calls that other gateways forwarded to this one. */
     private final Counter takenCalls;
 
+    /** The transfers that were ended because too many others were stalled. */
+    private final Counter endedTransfers;
+
     /**
      * Creates the metrics and registers them.
      *
@@ -53,6 +56,7 @@
         retriedAttempts = registry.counter("attempts.repeated");
         forwardedCalls = registry.counter("calls.forwarded");
         takenCalls = registry.counter("calls.taken");
+        endedTransfers = registry.counter("transfers.ended");
     }
 
     /**
@@ -77,6 +81,11 @@
         takenCalls.inc();
     }
 
+    /** Records that a transfer was ended because too many others were stalled. */
+    void recordEndedTransfer() {
+        endedTransfers.inc();
+    }
+
     /**
      * Records that the gateway answered a call with an error that it generated.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeRegistry.java
@@ -28,6 +28,9 @@
     /** The maximum size of an answer's body. */
     private final long maximumAnswerBytes;
 
+    /** The memory that exchanges may hold together. */
+    private final ExchangeMemory memory;
+
     /** The open exchanges with callers, by identifier of the call. */
     private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
 
@@ -43,6 +46,7 @@
      * @param dialect the header fields of callers and backend servers
      * @param log the log of decisions about single calls
      * @param maximumAnswerBytes the maximum size of an answer's body
+     * @param memory the memory that exchanges may hold together
      */
     public ExchangeRegistry(
             CoreDriver driver,
@@ -50,13 +54,15 @@
             ExchangeMetrics metrics,
             HeaderDialect dialect,
             CallLog log,
-            long maximumAnswerBytes) {
+            long maximumAnswerBytes,
+            ExchangeMemory memory) {
         this.driver = driver;
         this.connections = connections;
         this.metrics = metrics;
         this.dialect = dialect;
         this.log = log;
         this.maximumAnswerBytes = maximumAnswerBytes;
+        this.memory = memory;
     }
 
     /** Returns the header fields of callers and backend servers. */
@@ -74,6 +80,11 @@
         return maximumAnswerBytes;
     }
 
+    /** Returns the memory that exchanges may hold together. */
+    ExchangeMemory memory() {
+        return memory;
+    }
+
     /** Returns the metrics of exchanges and attempts. */
     ExchangeMetrics metrics() {
         return metrics;
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -14,6 +14,7 @@
 import java.time.Clock;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.model.RefusalSignal;
 import org.chivecourse.configuration.model.Service;
@@ -24,6 +25,7 @@
 import org.chivecourse.gateway.audit.AuditTrail;
 import org.chivecourse.gateway.environment.GatewayEnvironment;
 import org.chivecourse.gateway.environment.PublicationReader;
+import org.chivecourse.gateway.operator.MemoryMetrics;
 import org.chivecourse.gateway.operator.MetricsPrinter;
 import org.chivecourse.gateway.operator.OperatorListener;
 import org.chivecourse.gateway.operator.StatusPrinter;
@@ -36,6 +38,7 @@
 import org.chivecourse.protocol.trace.TraceRecorder;
 import org.chivecourse.transport.driver.CoreDriver;
 import org.chivecourse.transport.http.BackendConnections;
+import org.chivecourse.transport.http.ExchangeMemory;
 import org.chivecourse.transport.http.ExchangeMetrics;
 import org.chivecourse.transport.http.ExchangeRegistry;
 import org.chivecourse.transport.http.ServerChecks;
@@ -104,6 +107,9 @@
     /** Detects pauses of the process, such as a suspended machine. */
     private final PauseDetector pauseDetector;
 
+    /** The number of periodic ticks that the event loop has started. */
+    private final AtomicLong ticks = new AtomicLong();
+
     /** The lifecycle state, changed by {@link #start()} and {@link #stop()}. */
     private volatile GatewayState state = GatewayState.STARTING;
 
@@ -158,17 +164,22 @@
                 backendTls::context,
                 loopResources);
         MetricRegistry metrics = new MetricRegistry();
+        ExchangeMetrics exchangeMetrics = new ExchangeMetrics(metrics);
+        ExchangeMemory memory = ExchangeMemory.ofProcess(Runtime.getRuntime().maxMemory(), exchangeMetrics);
         exchanges = new ExchangeRegistry(
                 driver,
                 connections,
-                new ExchangeMetrics(metrics),
+                exchangeMetrics,
                 environment.headerDialect(),
                 environment.log(),
-                settings.http().maximumBodyBytes());
+                settings.http().maximumBodyBytes(),
+                memory);
         healthChecks = new ServerChecks(
                 driver, connections, environment.headerDialect(), SettingsTranslation.probeTimeout(settings));
         requestListeners = new RequestListeners(settings, callerTls, driver, exchanges, loopResources);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::openExchanges);
+        metrics.register("calls.held-bytes", (Gauge<Long>) memory::heldBytes);
+        MemoryMetrics.register(metrics);
         operatorListener = new OperatorListener(
                 SettingsTranslation.listenAddress(settings.operators().address()),
                 this::ready,
@@ -241,9 +252,10 @@
     /**
      * Reports elapsed time to the decision core, and the length of a pause if the process was not scheduled.
      *
-     * <p>Exceptions are logged and not thrown, because the executor would cancel the periodic task.
+     * <p>Exceptions and errors are logged and not thrown, because the executor would cancel the periodic task.
      */
     private void tick() {
+        ticks.incrementAndGet();
         try {
             long pausedNanoseconds = pauseDetector.recordTick(System.nanoTime());
             if (pausedNanoseconds > 0) {
@@ -253,8 +265,8 @@
                 driver.handle(new Event.Resumed(pausedNanoseconds));
             }
             driver.handle(new Event.TimePassed());
-        } catch (RuntimeException exception) {
-            LOGGER.error("periodic tick of the decision core failed", exception);
+        } catch (RuntimeException | Error failure) {
+            LOGGER.error("periodic tick of the decision core failed", failure);
         }
     }
 
@@ -334,6 +346,11 @@
         return driver.read(HostCore::openCalls);
     }
 
+    /** Returns the number of periodic ticks so far, which stands still only if the event loop does. */
+    public long ticks() {
+        return ticks.get();
+    }
+
     /** Returns the status as a JSON document for operators. */
     public String status() {
         StatusPrinter printer = new StatusPrinter();
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/GatewayProcess.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/GatewayProcess.java
@@ -7,6 +7,7 @@
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.chivecourse.configuration.document.DocumentException;
 import org.chivecourse.gateway.environment.GatewayEnvironment;
@@ -101,7 +102,13 @@
         Signal.handle(new Signal("HUP"), signal -> settingsFile.reload("SIGHUP", true));
         gateway.start();
         settingsFile.start();
-        stopRequested.await();
+        EventLoopWatchdog watchdog = new EventLoopWatchdog(gateway::ticks);
+        while (!stopRequested.await(EventLoopWatchdog.CHECK_INTERVAL_SECONDS, TimeUnit.SECONDS)) {
+            if (watchdog.standsStill()) {
+                System.err.println("chivecourse: the event loop stands still, so the process ends to be restarted");
+                Runtime.getRuntime().halt(EXIT_FAILURE);
+            }
+        }
         return gateway.stop() == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
     }
 }
