--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
@@ -29,6 +29,12 @@
     /** The time between two updates of the assignments. */
     private static final long ASSIGNMENT_INTERVAL_NANOSECONDS = 400_000_000L;
 
+    /**
+     * The time after the first backend servers are known for which none is probed. A gateway that has just started does
+     * not know the others yet, and would probe all of them.
+     */
+    private static final long STARTUP_REST_NANOSECONDS = 500_000_000L;
+
     /** The time after which a probe that has not ended no longer prevents another one. */
     private static final long PROBE_TIMEOUT_NANOSECONDS = 3_000_000_000L;
 
@@ -58,6 +64,9 @@
     /** The time of the last update of the assignments, in nanoseconds. */
     private long assignedAt = Long.MIN_VALUE / 2;
 
+    /** The time at which backend servers were first known, in nanoseconds, zero before. */
+    private long serversKnownAt;
+
     /** The times at which the latest probes started, in nanoseconds, by identity of the backend server. */
     private final Map<String, Long> startTimes = new HashMap<>();
 
@@ -82,7 +91,7 @@
      * disable probes.
      */
     public void startDueProbes(long now, DecisionSink sink) {
-        if (settings.fleet().probeIntervalNanoseconds() == 0) {
+        if (settings.fleet().probeIntervalNanoseconds() == 0 || resting(now)) {
             return;
         }
         if (now - assignedAt >= ASSIGNMENT_INTERVAL_NANOSECONDS) {
@@ -100,6 +109,14 @@
         probeDoubtfulLinks(now, sink);
     }
 
+    /** Returns whether this gateway has learned of the first backend servers only a short time ago. */
+    private boolean resting(long now) {
+        if (serversKnownAt == 0 && !services.all().isEmpty()) {
+            serversKnownAt = now;
+        }
+        return now - serversKnownAt < STARTUP_REST_NANOSECONDS;
+    }
+
     /** Starts a probe. */
     private void start(Assignment assignment, long now, DecisionSink sink) {
         String identity = assignment.server().identity();
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -43,7 +43,10 @@
     /** The event loops that connections run on. */
     private final LoopResources loops;
 
-    /** The pools and clients by identity of the backend server. */
+    /** The backend servers in use by their identity. */
+    private volatile Map<String, BackendServer> servers = Map.of();
+
+    /** The pools and clients that have been used, by identity of the backend server. */
     private final Map<String, PooledClient> clients = new ConcurrentHashMap<>();
 
     /**
@@ -62,14 +65,14 @@
     }
 
     /**
-     * Opens pools for the given backend servers and disposes of those of all others. Exchanges in progress on a
-     * disposed pool continue to their end.
+     * Replaces the backend servers in use and disposes of the pools of all others. Exchanges in progress on a disposed
+     * pool continue to their end.
      *
-     * @param servers the backend servers to use
+     * @param used the backend servers to use
      */
-    public synchronized void apply(List<BackendServer> servers) {
+    public synchronized void apply(List<BackendServer> used) {
         Map<String, BackendServer> serversByIdentity = new HashMap<>();
-        servers.forEach(server -> serversByIdentity.put(server.identity(), server));
+        used.forEach(server -> serversByIdentity.put(server.identity(), server));
         clients.entrySet().removeIf(entry -> {
             BackendServer server = serversByIdentity.get(entry.getKey());
             boolean removed = server == null || !server.address().equals(entry.getValue().address);
@@ -78,7 +81,7 @@
             }
             return removed;
         });
-        serversByIdentity.forEach((identity, server) -> clients.computeIfAbsent(identity, key -> openPool(server)));
+        servers = serversByIdentity;
     }
 
     /**
@@ -154,14 +157,20 @@
     }
 
     /**
-     * Returns the client of a backend server.
+     * Returns the client of a backend server, whose pool is opened for its first use.
      *
      * @param identity the identity of the backend server
      * @return the client, {@code null} if the backend server is not in use
      */
     HttpClient client(String identity) {
         PooledClient pooled = clients.get(identity);
-        return pooled == null ? null : pooled.client;
+        return pooled == null ? openClient(identity) : pooled.client;
+    }
+
+    /** Opens the pool of a backend server, unless it is not in use, and returns its client. */
+    private synchronized HttpClient openClient(String identity) {
+        BackendServer server = servers.get(identity);
+        return server == null ? null : clients.computeIfAbsent(identity, key -> openPool(server)).client;
     }
 
     /**
