Read from the publisher with fewer calls: known watchers, collected changes, rarer retries

Gateways that are turned away read every 0.7 s although others tell them everything. Change: a pause between watches counts as watching; the first watch follows 0.7 s after the first answer, when others are known; after an answer with changes the first watcher waits 0.15 s and the others 1 s, so that an answer collects several; a gateway that is turned away retries each 3 s while two others watch, and while none reaches the publisher later ones in rank order retry more rarely.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -284,7 +284,7 @@
      * @param sink receives the resulting decisions
      */
     public void applyListing(Event.PublicationListed event, long now, DecisionSink sink) {
-        if (!publisherReads.completeCall(event.call(), now)) {
+        if (!publisherReads.completeCall(event.call(), event.revision() != publishedState.revision(), now)) {
             return;
         }
         long previousRevision = publishedState.revision();
@@ -301,7 +301,7 @@
      * @param sink receives the resulting decisions
      */
     public void applyWatchedChanges(Event.PublicationChanged event, long now, DecisionSink sink) {
-        if (!publisherReads.completeCall(event.call(), now)) {
+        if (!publisherReads.completeCall(event.call(), !event.items().isEmpty(), now)) {
             return;
         }
         long previousRevision = publishedState.revision();
@@ -358,6 +358,15 @@
         return false;
     }
 
+    /**
+     * Returns whether this gateway can expect published items soon.
+     *
+     * @return {@code false} if gateways discover each other in another way, or the publisher does not answer
+     */
+    public boolean awaitsItems() {
+        return settings.fleet().enabled() && publisherReads.reachable();
+    }
+
     /**
      * Returns whether other gateways have newer published items, which this one is about to receive.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationWatcherElection.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationWatcherElection.java
@@ -54,6 +54,23 @@
         return before;
     }
 
+    /**
+     * Returns the position of this gateway in rank order among the live gateways that do not reach the publisher.
+     *
+     * @param peers the other gateways of the fleet
+     * @param now the current time in nanoseconds
+     * @return the number of others that rank below this one
+     */
+    int positionWithoutPublisher(FleetPeers peers, long now) {
+        int ownRank = rank(peers.self().name());
+        int before = 0;
+        for (FleetPeer peer : peers.live(now)) {
+            boolean lower = rank(peer.member().name()) < ownRank;
+            before += lower && !reachesPublisher(peer) ? 1 : 0;
+        }
+        return before;
+    }
+
     /** Returns whether a gateway reaches the publisher, as far as it knows. */
     static boolean reachesPublisher(FleetPeer peer) {
         return peer.latestDigest().publisherStatus().reached();
@@ -66,7 +83,7 @@
      * @param now the current time in nanoseconds
      * @return {@code true} if at least {@link #WATCHER_COUNT} live gateways report that they watch
      */
-    private static boolean enoughOthersWatch(FleetPeers peers, long now) {
+    boolean enoughOthersWatch(FleetPeers peers, long now) {
         int watching = 0;
         for (FleetPeer peer : peers.live(now)) {
             watching += peer.latestDigest().publisherStatus().watching() ? 1 : 0;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
@@ -14,6 +14,27 @@
     /** The number of nanoseconds in a millisecond. */
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
 
+    /**
+     * The time after the first answer before which this gateway does not watch, in nanoseconds. Until then it may not
+     * know the others that do.
+     */
+    private static final long FIRST_WATCH_DELAY_NANOSECONDS = 700_000_000L;
+
+    /** The time between an answer with changes and the next watch, so that it collects further ones, in nanoseconds. */
+    private static final long CHANGE_PAUSE_NANOSECONDS = 150_000_000L;
+
+    /** The same for all watchers but the first, which receive the changes from that one, in nanoseconds. */
+    private static final long STANDBY_CHANGE_PAUSE_NANOSECONDS = 1_000_000_000L;
+
+    /** The time within which a watch starts after its earliest time, in nanoseconds. */
+    private static final long WATCH_START_SLACK_NANOSECONDS = 100_000_000L;
+
+    /** The delay before a read is retried while enough others reach the publisher, in nanoseconds. */
+    private static final long RELAXED_RETRY_DELAY_NANOSECONDS = 3_000_000_000L;
+
+    /** The largest factor by which gateways retry more rarely than the first one while none reaches the publisher. */
+    private static final int MAXIMUM_RETRY_FACTOR = 6;
+
     /** The other gateways of the fleet. */
     private final FleetPeers peers;
 
@@ -26,6 +47,12 @@
     /** The answers of the publisher to other gateways. */
     private final OtherAnswers otherAnswers = new OtherAnswers();
 
+    /** The earliest time of the next watch, in nanoseconds. */
+    private long nextWatchAt = Long.MIN_VALUE / 2;
+
+    /** Whether the publisher has answered this gateway. */
+    private boolean answered;
+
     /** The revision of the published items when this gateway last started to watch. */
     private long revisionAtLastWatch;
 
@@ -51,7 +78,42 @@
      * @param sink receives the resulting decisions
      */
     void startDueCall(boolean allowed, long now, DecisionSink sink) {
-        poller.startDueCall(() -> allowed ? dueRead(now) : PublicationRead.NONE, publishedState.revision(), now, sink);
+        boolean due = allowed && now - nextWatchAt >= 0;
+        poller.startDueCall(
+                () -> due ? dueRead(now) : PublicationRead.NONE,
+                () -> retryDelay(now),
+                publishedState.revision(),
+                now,
+                sink);
+    }
+
+    /**
+     * Returns the delay before a read is retried after more than one failure, in nanoseconds. While enough others reach
+     * the publisher only this gateway's own way to it is in question, and while none does the first ones in rank order
+     * find out when it is back.
+     */
+    private long retryDelay(long now) {
+        if (PublicationWatcherElection.INSTANCE.enoughOthersWatch(peers, now)) {
+            return RELAXED_RETRY_DELAY_NANOSECONDS;
+        }
+        int position = PublicationWatcherElection.INSTANCE.positionWithoutPublisher(peers, now);
+        return PublicationPoller.LATER_RETRY_DELAY_NANOSECONDS * Math.min(MAXIMUM_RETRY_FACTOR, 1 + position);
+    }
+
+    /**
+     * Postpones the next watch after the first answer of the publisher, and after one with changes.
+     *
+     * @param changed whether the answer holds changes
+     * @param now the current time in nanoseconds
+     */
+    private void postponeWatch(boolean changed, long now) {
+        if (!answered) {
+            answered = true;
+            nextWatchAt = now + FIRST_WATCH_DELAY_NANOSECONDS;
+        } else if (changed) {
+            boolean first = PublicationWatcherElection.INSTANCE.position(peers, now) == 0;
+            nextWatchAt = now + (first ? CHANGE_PAUSE_NANOSECONDS : STANDBY_CHANGE_PAUSE_NANOSECONDS);
+        }
     }
 
     /** Returns how this gateway should read, {@link PublicationRead#NONE} if others do so. */
@@ -79,12 +141,14 @@
      * Records the success of a call. The result of a call that was cancelled is ignored.
      *
      * @param call the number of the call
+     * @param changed whether the answer holds changes
      * @param now the current time in nanoseconds
      * @return {@code true} if its result has to be applied
      */
-    boolean completeCall(long call, long now) {
+    boolean completeCall(long call, boolean changed, long now) {
         boolean completed = poller.completeCall(call, now);
         if (completed) {
+            postponeWatch(changed, now);
             publishedState.outageDetector().recordAnswer(now);
         }
         return completed;
@@ -97,7 +161,7 @@
      * @param now the current time in nanoseconds
      */
     void failCall(Event.PublicationFailed event, long now) {
-        poller.failCall(event.call(), event.forgotten(), now);
+        poller.failCall(event.call(), event.forgotten(), retryDelay(now), now);
     }
 
     /** Records what another gateway reports of the publisher. */
@@ -118,12 +182,24 @@
         return new FleetDigest.PublisherStatus(
                 publishedState.revision(),
                 poller.publisherReachable(),
-                poller.inFlight() && poller.succeededRecently(now),
+                (poller.inFlight() || pausing(now)) && poller.succeededRecently(now),
                 BridgeElection.INSTANCE.mustForward(peers)
                         ? publishedState.outageDetector().millisecondsSinceAnswer(now)
                         : poller.millisecondsSinceAnswer(now));
     }
 
+    /** Returns whether this gateway goes on to watch after a pause. */
+    private boolean pausing(long now) {
+        return answered
+                && now - nextWatchAt < WATCH_START_SLACK_NANOSECONDS
+                && PublicationWatcherElection.INSTANCE.isWatcher(peers, now);
+    }
+
+    /** Returns whether the publisher is considered reachable, as it is before the first read. */
+    boolean reachable() {
+        return poller.publisherReachable();
+    }
+
     /** Writes an audit record when the publisher becomes unreachable and when it becomes reachable again. */
     void auditReachability(DecisionSink sink) {
         if (poller.publisherReachable() == reachableAtLastAudit) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublicationPoller.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublicationPoller.java
@@ -1,5 +1,6 @@
 package org.chivecourse.coordination.publication;
 
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
@@ -26,7 +27,7 @@
     private static final long FIRST_RETRY_DELAY_NANOSECONDS = 50_000_000L;
 
     /** The delay before the retry after each further consecutive failure, in nanoseconds. */
-    private static final long LATER_RETRY_DELAY_NANOSECONDS = 700_000_000L;
+    public static final long LATER_RETRY_DELAY_NANOSECONDS = 700_000_000L;
 
     /** The number of nanoseconds in a millisecond. */
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
@@ -66,14 +67,20 @@
      * last call failed, reads even if this is not requested.
      *
      * @param requested returns how this gateway should read from the publisher
+     * @param laterRetryDelay returns the delay before a retry after more than one failure, in nanoseconds
      * @param revision the revision up to which all items are known, zero if none are
      * @param now the current time in nanoseconds
      * @param sink receives the resulting decisions
      */
-    public void startDueCall(Supplier<PublicationRead> requested, long revision, long now, DecisionSink sink) {
+    public void startDueCall(
+            Supplier<PublicationRead> requested,
+            LongSupplier laterRetryDelay,
+            long revision,
+            long now,
+            DecisionSink sink) {
         if (inFlight && now - timeoutAt >= 0) {
             sink.decide(new Decision.CancelPublication(callNumber));
-            failCall(callNumber, false, now);
+            failCall(callNumber, false, laterRetryDelay.getAsLong(), now);
         }
         if (inFlight || now - nextCallAt < 0) {
             return;
@@ -121,10 +128,11 @@
      *
      * @param endedCall the number of the call
      * @param forgotten whether the publisher no longer has the requested changes, which does not count as a failure
+     * @param laterRetryDelay the delay before the retry unless this is the first failure, in nanoseconds
      * @param now the current time in nanoseconds
      * @return {@code true} if it was the call in flight
      */
-    public boolean failCall(long endedCall, boolean forgotten, long now) {
+    public boolean failCall(long endedCall, boolean forgotten, long laterRetryDelay, long now) {
         if (!inFlight || endedCall != callNumber) {
             return false;
         }
@@ -134,7 +142,7 @@
             return true;
         }
         failures++;
-        nextCallAt = now + (failures == 1 ? FIRST_RETRY_DELAY_NANOSECONDS : LATER_RETRY_DELAY_NANOSECONDS);
+        nextCallAt = now + (failures == 1 ? FIRST_RETRY_DELAY_NANOSECONDS : laterRetryDelay);
         return true;
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/publication/PublicationPollerTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/publication/PublicationPollerTest.java
@@ -19,6 +19,8 @@
 
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
 
+    private static final long RETRY_DELAY = PublicationPoller.LATER_RETRY_DELAY_NANOSECONDS;
+
     private final PublicationPoller poller = new PublicationPoller();
 
     private long now = NANOSECONDS_PER_MILLISECOND;
@@ -28,7 +30,11 @@
         for (long passed = 0; passed < milliseconds; passed += 10) {
             now += 10 * NANOSECONDS_PER_MILLISECOND;
             poller.startDueCall(
-                    () -> requested ? PublicationRead.WATCH : PublicationRead.NONE, revision, now, decisions::add);
+                    () -> requested ? PublicationRead.WATCH : PublicationRead.NONE,
+                    () -> RETRY_DELAY,
+                    revision,
+                    now,
+                    decisions::add);
         }
         return decisions;
     }
@@ -64,7 +70,7 @@
         completeListing();
         Decision.WatchPublication first =
                 (Decision.WatchPublication) advance(true, 5, 10).get(0);
-        poller.failCall(first.call(), false, now);
+        poller.failCall(first.call(), false, RETRY_DELAY, now);
         Decision.WatchPublication second =
                 (Decision.WatchPublication) advance(true, 5, 100).get(0);
         assertThat(second.waitMilliseconds(), equalTo(1));
@@ -74,7 +80,7 @@
     void singleReadRequestsMinimumWait() {
         completeListing();
         List<Decision> decisions = new ArrayList<>();
-        poller.startDueCall(() -> PublicationRead.ONCE, 5, now, decisions::add);
+        poller.startDueCall(() -> PublicationRead.ONCE, () -> RETRY_DELAY, 5, now, decisions::add);
         Decision.WatchPublication read = (Decision.WatchPublication) decisions.get(0);
         assertThat(read.waitMilliseconds(), equalTo(1));
     }
@@ -85,7 +91,7 @@
         for (int count = 0; count < 2; count++) {
             Decision.WatchPublication watch =
                     (Decision.WatchPublication) advance(true, 5, 800).get(0);
-            poller.failCall(watch.call(), false, now);
+            poller.failCall(watch.call(), false, RETRY_DELAY, now);
         }
         assertThat(poller.publisherReachable(), equalTo(false));
     }
@@ -95,7 +101,7 @@
         completeListing();
         Decision.WatchPublication watch =
                 (Decision.WatchPublication) advance(true, 5, 10).get(0);
-        poller.failCall(watch.call(), false, now);
+        poller.failCall(watch.call(), false, RETRY_DELAY, now);
         assertThat(advance(false, 5, 100), hasSize(1));
     }
 
@@ -104,7 +110,7 @@
         completeListing();
         Decision.WatchPublication watch =
                 (Decision.WatchPublication) advance(true, 5, 10).get(0);
-        poller.failCall(watch.call(), true, now);
+        poller.failCall(watch.call(), true, RETRY_DELAY, now);
         Decision.ListPublication list =
                 (Decision.ListPublication) advance(true, 5, 10).get(0);
         assertThat(list.staleAllowed(), equalTo(false));
