Hold requests that arrive just before the first configuration

A caller has one or two retries. Cause: the port opens with the process, the configuration is known 0.2 to 0.75 s later. Ruled out: opening the port later, since the platform then counts a failed connection against the caller all the same. Change: requests are held for at most 0.6 s and a third of the time that the caller grants, at most 200, in the first 2 s after the start and while the publisher is not known to be away; then the more urgent come first, and those whose callers still wait longest.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Arrival.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Arrival.java
@@ -113,4 +113,25 @@
                 host,
                 attempts);
     }
+
+    /**
+     * Returns a copy that was handled later than it arrived.
+     *
+     * @param nanoseconds the time since it arrived, in nanoseconds
+     * @return the changed copy, whose caller waits for that much less if it set a timeout
+     */
+    public Arrival delayed(long nanoseconds) {
+        long remaining = remainingNanoseconds == 0 ? 0 : Math.max(1, remainingNanoseconds - nanoseconds);
+        return new Arrival(
+                method,
+                path,
+                remaining,
+                depth,
+                replayable,
+                key,
+                keyAgeNanoseconds,
+                fingerprint,
+                host,
+                forwardedAttempts);
+    }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -1,10 +1,12 @@
 package org.chivecourse.coordination.host;
 
+import java.util.List;
 import java.util.random.RandomGenerator;
 import org.chivecourse.configuration.format.LoadedConfiguration;
 import org.chivecourse.configuration.rule.Finding;
 import org.chivecourse.coordination.call.CallCoordinator;
 import org.chivecourse.coordination.call.ServiceRegistry;
+import org.chivecourse.coordination.call.StartupCalls;
 import org.chivecourse.coordination.configuration.ConfigurationRegistry;
 import org.chivecourse.coordination.configuration.ConfigurationStatus;
 import org.chivecourse.coordination.decision.Decision;
@@ -44,6 +46,9 @@
     /** Coordinates the calls that have no final answer yet. */
     private final CallCoordinator calls;
 
+    /** The requests that arrived before the first configuration. */
+    private final StartupCalls startupCalls;
+
     /** The other gateways that the platform's host list names. */
     private final Membership membership;
 
@@ -95,6 +100,7 @@
         membership = new Membership(settings, random);
         keyOwnership = new KeyOwnership(settings, membership);
         calls = new CallCoordinator(settings, services, keyOwnership, forwardingPeers, random);
+        startupCalls = new StartupCalls(services);
         peerExchange = new PeerExchange(settings, membership, configurations, services, calls.poisonRequests());
         fleetExchange = new FleetExchange(settings, publishedState, services, calls.poisonRequests(), forwardingPeers);
         AssignedProbes assignedProbes =
@@ -110,9 +116,11 @@
      * @param sink receives the resulting decisions in the order in which to execute them
      */
     public void handle(Event event, long now, DecisionSink sink) {
+        startupCalls.recordStart(now);
         keyOwnership.recordEvent(now);
         calls.crashDetector().findCrashes(now, sink);
         apply(event, now, sink);
+        startHeldCalls(now, sink);
         calls.crashDetector().recordEnds(now);
         if (settings.fleet().enabled()) {
             fleetExchange.sendUrgentObservations(now, sink);
@@ -122,7 +130,7 @@
     /** Applies an event. */
     private void apply(Event event, long now, DecisionSink sink) {
         if (event instanceof Event.CallArrived arrived) {
-            calls.handleArrival(arrived, configurationStatus(now), now, sink);
+            handleArrival(arrived, now, sink);
         } else if (event instanceof Event.AttemptReady ready) {
             calls.attemptOutcomes().handleReady(ready.attempt(), now, sink);
         } else if (event instanceof Event.AnswerStarted started) {
@@ -134,6 +142,7 @@
         } else if (event instanceof Event.AttemptBroken broken) {
             calls.attemptOutcomes().handleBroken(broken, now, sink);
         } else if (event instanceof Event.CallerDisconnected disconnected) {
+            startupCalls.remove(disconnected.call());
             calls.handleCallerDisconnect(disconnected.call(), now, sink);
         } else if (event instanceof Event.TimePassed) {
             handleTimePassed(now, sink);
@@ -142,6 +151,22 @@
         }
     }
 
+    /** Starts the call of a request, or holds the request if the first configuration is about to arrive. */
+    private void handleArrival(Event.CallArrived arrived, long now, DecisionSink sink) {
+        boolean held = !serves(now) && fleetExchange.awaitsItems() && startupCalls.hold(arrived, now);
+        if (!held) {
+            calls.handleArrival(arrived, configurationStatus(now), now, sink);
+        }
+    }
+
+    /** Starts the calls of the requests that were held, once there is a configuration, and refuses overdue ones. */
+    private void startHeldCalls(long now, DecisionSink sink) {
+        List<Event.CallArrived> due = serves(now) ? startupCalls.pollAll(now) : startupCalls.pollExpired(now);
+        for (Event.CallArrived arrived : due) {
+            calls.handleArrival(arrived, configurationStatus(now), now, sink);
+        }
+    }
+
     /** Performs the periodic work: timeouts and hedges of calls, health checks, probes and digests. */
     private void handleTimePassed(long now, DecisionSink sink) {
         calls.advanceTime(now, sink);
