Know after few requests which callers come back

Cause: how long a caller has been trying follows from the time that new requests grant, which a restarted gateway learned in steps of 4.5%: some 23 requests from 0.7 to 2 s. Ruled out: the route's timeout, which callers do not grant. CallerElapsedTimesTest has the case.

--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/limit/CallerElapsedTimesTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/limit/CallerElapsedTimesTest.java
@@ -64,6 +64,22 @@
         assertThat(record(1800), equalTo(0L));
     }
 
+    /** After a start most callers come back. The first new requests show it. */
+    @Test
+    void fewNewRequestsShowThatOthersComeBack() {
+        for (long granted : new long[] {700, 650, 900, 1900, 800, 1850}) {
+            record(granted);
+        }
+        assertThat((double) record(700), closeTo(0.8 * 1850 - 700, 100));
+    }
+
+    @Test
+    void onePatientCallerDoesNotMakeTheFirstOthersOld() {
+        record(8000);
+        assertThat(record(1800), equalTo(0L));
+        assertThat(record(1750), equalTo(0L));
+    }
+
     @Test
     void routesAreIndependent() {
         elapsedTimes.record("orders", 5000 * MILLISECOND);
