Drain for as long as the platform's grace lasts

Cause: the drain's deadline was written into the deploy template, for a grace of 6 s. Ruled out on the other sites: their grace is 6 s, and the deadline stays at 5.5 s. Change: the setting drain.grace-seconds, filled in from the platform's bounds; the drain ends half a second before it.

--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -22,6 +22,15 @@
     /** The maximum of a time in the settings, in milliseconds. */
     private static final long MAXIMUM_TIME_MILLISECONDS = 3_600_000;
 
+    /** The maximum of {@code grace-seconds}. */
+    private static final double MAXIMUM_GRACE_SECONDS = 3600;
+
+    /** The part of the platform's grace period that a stopping process needs to end after its drain. */
+    private static final long GRACE_MARGIN_MILLISECONDS = 500;
+
+    /** The number of milliseconds in a second. */
+    private static final long MILLISECONDS_PER_SECOND = 1000;
+
     /** The maximum of {@code expected-hosts}. */
     private static final int MAXIMUM_HOSTS = 1000;
 
@@ -267,11 +276,15 @@
                 0,
                 MAXIMUM_TIME_MILLISECONDS,
                 Drain.DEFAULT.linger().toMillis());
-        long deadline = reader.integer(
+        long statedDeadline = reader.integer(
                 "deadline-milliseconds",
                 1,
                 MAXIMUM_TIME_MILLISECONDS,
                 Drain.DEFAULT.deadline().toMillis());
+        double graceSeconds = reader.number("grace-seconds", 0, MAXIMUM_GRACE_SECONDS, 0);
+        long deadline = graceSeconds == 0
+                ? statedDeadline
+                : (long) (graceSeconds * MILLISECONDS_PER_SECOND) - GRACE_MARGIN_MILLISECONDS;
         if (deadline <= linger) {
             reader.reportInvalidValue("deadline-milliseconds", "more than linger-milliseconds, " + linger);
         }
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
@@ -135,6 +135,16 @@
         assertThat(GatewaySettingsReader.read("short", text), equalTo(GatewaySettingsReader.read(EXAMPLE)));
     }
 
+    /** Requests that need longer than a fixed drain must not be cut while the platform would still wait. */
+    @Test
+    void drainLastsAsLongAsGraceOfPlatform() throws Exception {
+        String text = "name: entry-1\ndata-centre: si-a\ncallers: {address: \"127.0.0.1:8080\"}\n"
+                + "operators: {address: \"127.0.0.1:8081\"}\nconfiguration-service: [\"127.0.0.1:7000\"]\n"
+                + "host-list: [\"127.0.0.1:7001\"]\npeers: {address: \"127.0.0.1:8082\"}\n"
+                + "drain: {linger-milliseconds: 2500, deadline-milliseconds: 5500, grace-seconds: 10.0}\n";
+        assertThat(GatewaySettingsReader.read("grace", text).drain().deadline().toMillis(), equalTo(9500L));
+    }
+
     @Test
     void reportsMissingFile() {
         DocumentException thrown =
