--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/BackendServerStandIn.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/BackendServerStandIn.java
@@ -297,6 +297,11 @@
             response.header(HeaderNames.SERVER_LEAVING, "true");
         }
         response.header(REQUEST_ID_HEADER, identifier).header(ANSWERED_BY_HEADER, address());
+        int endlessChunkBytes = fault.endlessChunkBytes();
+        if (endlessChunkBytes > 0) {
+            Flux<ByteBuf> flood = Flux.generate(sink -> sink.next(createChunk(identifier, endlessChunkBytes)));
+            return response.send(flood, buffer -> true).then();
+        }
         if (request.fullPath().endsWith("/echo")) {
             return response.send(request.receive().retain()).then();
         }
--- a/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/Fault.java
+++ b/chivecourse-stand-ins/src/main/java/org/chivecourse/standin/backend/Fault.java
@@ -27,5 +27,29 @@
     LIE,
 
     /** The server closes the connection in the middle of each answer. */
-    CUT
+    CUT,
+
+    /** The server writes the body of each answer without end. */
+    FLOOD {
+        @Override
+        int endlessChunkBytes() {
+            return FLOOD_CHUNK_BYTES;
+        }
+    },
+
+    /** The server writes the body of each answer without end, in chunks of one byte. */
+    FLOOD_OF_SMALL_CHUNKS {
+        @Override
+        int endlessChunkBytes() {
+            return 1;
+        }
+    };
+
+    /** The size of the chunks of a flood. */
+    private static final int FLOOD_CHUNK_BYTES = 16 * 1024;
+
+    /** Returns the size of the chunks of a body without end, zero if bodies end. */
+    int endlessChunkBytes() {
+        return 0;
+    }
 }
