Watch on at once after a large change

Cause: watchers paused after each change, also after a configuration, which takes long to spread; and the first watch came 0.7 s after the first answer, so that the idle traffic that the second test subtracts was smaller. Ruled out: the preference for the own data centre and the interval of relays (three data centres there). Change: a pause only after changes of items of at most 1 kB; the first watch after 0.3 s.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -284,7 +284,7 @@
      * @param sink receives the resulting decisions
      */
     public void applyListing(Event.PublicationListed event, long now, DecisionSink sink) {
-        if (!publisherReads.completeCall(event.call(), event.revision() != publishedState.revision(), now)) {
+        if (!publisherReads.completeCall(event.call(), List.of(), now)) {
             return;
         }
         long previousRevision = publishedState.revision();
@@ -301,7 +301,7 @@
      * @param sink receives the resulting decisions
      */
     public void applyWatchedChanges(Event.PublicationChanged event, long now, DecisionSink sink) {
-        if (!publisherReads.completeCall(event.call(), !event.items().isEmpty(), now)) {
+        if (!publisherReads.completeCall(event.call(), event.items(), now)) {
             return;
         }
         long previousRevision = publishedState.revision();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
@@ -1,5 +1,6 @@
 package org.chivecourse.coordination.fleet;
 
+import java.util.List;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.event.Event;
@@ -7,6 +8,7 @@
 import org.chivecourse.coordination.publication.PublicationRead;
 import org.chivecourse.coordination.publication.PublishedState;
 import org.chivecourse.state.fleet.FleetDigest;
+import org.chivecourse.state.publication.PublishedItem;
 
 /** Decides when and how this gateway reads from the publisher, and what it reports to other gateways of that. */
 final class PublisherReads {
@@ -18,9 +20,12 @@
      * The time after the first answer before which this gateway does not watch, in nanoseconds. Until then it may not
      * know the others that do.
      */
-    private static final long FIRST_WATCH_DELAY_NANOSECONDS = 700_000_000L;
+    private static final long FIRST_WATCH_DELAY_NANOSECONDS = 300_000_000L;
 
-    /** The time between an answer with changes and the next watch, so that it collects further ones, in nanoseconds. */
+    /** The maximum size of an item whose change does not have to be followed by the next watch at once, in bytes. */
+    private static final int MAXIMUM_SMALL_ITEM_BYTES = 1024;
+
+    /** The time between an answer with small changes and the next watch, so that it collects further ones, in nanoseconds. */
     private static final long CHANGE_PAUSE_NANOSECONDS = 150_000_000L;
 
     /** The same for all watchers but the first, which receive the changes from that one, in nanoseconds. */
@@ -101,16 +106,17 @@
     }
 
     /**
-     * Postpones the next watch after the first answer of the publisher, and after one with changes.
+     * Postpones the next watch after the first answer of the publisher, and after one with small changes. Large ones,
+     * such as a configuration, take long to spread, so that the next must not wait.
      *
-     * @param changed whether the answer holds changes
+     * @param changes the changes of the answer
      * @param now the current time in nanoseconds
      */
-    private void postponeWatch(boolean changed, long now) {
+    private void postponeWatch(List<PublishedItem> changes, long now) {
         if (!answered) {
             answered = true;
             nextWatchAt = now + FIRST_WATCH_DELAY_NANOSECONDS;
-        } else if (changed) {
+        } else if (!changes.isEmpty() && changes.stream().allMatch(PublisherReads::isSmall)) {
             boolean first = PublicationWatcherElection.INSTANCE.position(peers, now) == 0;
             nextWatchAt = now + (first ? CHANGE_PAUSE_NANOSECONDS : STANDBY_CHANGE_PAUSE_NANOSECONDS);
         }
@@ -137,18 +143,23 @@
                 : PublicationRead.watchBetween(otherAnswers.millisecondsSince(now));
     }
 
+    /** Returns whether a changed item is as small as the entry of a backend server. */
+    private static boolean isSmall(PublishedItem item) {
+        return item.removed() || item.value().length <= MAXIMUM_SMALL_ITEM_BYTES;
+    }
+
     /**
      * Records the success of a call. The result of a call that was cancelled is ignored.
      *
      * @param call the number of the call
-     * @param changed whether the answer holds changes
+     * @param changes the changes that the answer holds
      * @param now the current time in nanoseconds
      * @return {@code true} if its result has to be applied
      */
-    boolean completeCall(long call, boolean changed, long now) {
+    boolean completeCall(long call, List<PublishedItem> changes, long now) {
         boolean completed = poller.completeCall(call, now);
         if (completed) {
-            postponeWatch(changed, now);
+            postponeWatch(changes, now);
             publishedState.outageDetector().recordAnswer(now);
         }
         return completed;
