--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
@@ -25,7 +25,7 @@
     /** The maximum size of an item whose change does not have to be followed by the next watch at once, in bytes. */
     private static final int MAXIMUM_SMALL_ITEM_BYTES = 1024;
 
-    /** The maximum size of an item after whose change the next watch may wait, in bytes. */
+    /** The pause after an answer with small changes, in which further ones collect, in nanoseconds. */
     private static final long CHANGE_PAUSE_NANOSECONDS = 150_000_000L;
 
     /** The same for all watchers but the first, which receive the changes from that one, in nanoseconds. */
