--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -204,7 +204,7 @@
 
     /**
      * Serves a request with valid framing. A body of a known length that is small enough is read first, so that it can
-     * be sent again, and any other body is streamed.
+     * be sent again, if there is memory for it. Any other body is streamed.
      *
      * @param request the request
      * @param response the answer
