Compare paths and prefixes in the same form

Cause: paths of requests were decoded, prefixes were compared as written, so that such a prefix matched nothing and the request took the route of a shorter one, and that it may be repeated.

Change: one normalized form for both (RFC 3986, section 6.2.2), in the configuration library. It keeps different octets apart, which the decoded text did not. Prefixes that match nothing or equal another are findings. Of two equal ones the one that may not be repeated goes first.

--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
@@ -83,6 +83,7 @@
                     configuration.callerRoutes().get(index),
                     names);
         }
+        findings.list.addAll(RoutePathRules.INSTANCE.check(configuration.callerRoutes()));
         return findings.list;
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/route/RouteTableTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/route/RouteTableTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.chivecourse.configuration.model.CallerRoute;
+import org.chivecourse.configuration.model.Idempotency;
 import org.chivecourse.configuration.model.ServiceShare;
 import org.junit.jupiter.api.Test;
 
@@ -83,4 +84,27 @@
         assertThat(table.nextService(table.route("h", "/a/1")), equalTo("jobs"));
         assertThat(table.nextService(table.route("h", "/b/1")), equalTo("others"));
     }
+
+    @Test
+    void selectsRouteWhosePrefixIsWrittenWithEscapes() {
+        RouteTable table = table(
+                CallerRoute.of("lookups", "h", "/jobs/", "jobs"),
+                CallerRoute.of("orders", "h", "/jobs/naro%c4%8dila/", "jobs"));
+        assertThat(table.route("h", "/jobs/naro%C4%8Dila/7").name(), equalTo("orders"));
+    }
+
+    @Test
+    void prefersRouteThatMayNotBeRepeatedOfTwoWithSamePrefix() {
+        RouteTable table = table(
+                CallerRoute.of("lookups", "h", "/a//b/", "jobs"),
+                CallerRoute.of("orders", "h", "/a/b/", "jobs").idempotency(Idempotency.NOT_IDEMPOTENT));
+        assertThat(table.route("h", "/a/b/7").name(), equalTo("orders"));
+    }
+
+    @Test
+    void ignoresRouteWhosePrefixNoRequestHas() {
+        RouteTable table =
+                table(CallerRoute.of("bad", "h", "/a%2Fb/", "jobs"), CallerRoute.of("good", "h", "/a/", "jobs"));
+        assertThat(table.route("h", "/a/b/c").name(), equalTo("good"));
+    }
 }
