--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/NormalizedPath.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/NormalizedPath.java
@@ -1,13 +1,14 @@
 package org.chivecourse.configuration.model;
 
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
 
 /**
  * The form of a path in which paths of requests and path prefixes of routes are compared.
  *
  * <p>Characters that a path may contain stand for themselves, also where they were escaped; every other octet is
  * escaped with upper case digits (RFC 3986, section 6.2.2). Repeated slashes are merged. Two texts have the same
- * normalized path only if they name the same segments, so that no request takes the route of another path.
+ * normalized path only if they are the same octets once escapes are decoded and slashes merged.
  */
 public final class NormalizedPath {
 
@@ -17,6 +18,9 @@
     /** The digits of escapes. */
     private static final String HEXADECIMAL_DIGITS = "0123456789ABCDEF";
 
+    /** The pattern of a percent sign that begins no escape. */
+    private static final Pattern PLAIN_PERCENT_SIGN = Pattern.compile("%(?![0-9A-Fa-f]{2})");
+
     /** The number of digits of an escape. */
     private static final int ESCAPE_DIGITS = 2;
 
@@ -44,14 +48,15 @@
     }
 
     /**
-     * Normalizes the path prefix of a route.
+     * Normalizes the path prefix of a route. A percent sign that begins no escape stands for itself.
      *
      * @param prefix the prefix as the operator wrote it, with or without escapes
      * @return the normalized prefix
      * @throws MalformedPathException if no path that begins with the prefix can be normalized
      */
     public static String ofPrefix(String prefix) throws MalformedPathException {
-        return ofRequest(new String(prefix.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1));
+        String escaped = PLAIN_PERCENT_SIGN.matcher(prefix).replaceAll("%25");
+        return ofRequest(new String(escaped.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1));
     }
 
     /** Returns whether a path consists of literal characters and has no repeated slashes. */
