Evacuate data centres whose item the operator publishes

Cause: an item op/evacuate/ZONE was unrelated to the gateway, so that it went on sending to the backend servers of that data centre. Nothing in the product knew that a data centre is evacuated.

Change: the decoder names the data centre that the key of an item evacuates, whatever its value is. The package coordination/evacuation holds which data centres are evacuated, since when and on whose word (a published item or the configuration's evacuated-data-centres), and audits each start and end. Evacuations of a change go before all else of it. A service chooses only among its servers in use: first sends, repeats, hedges and suspected calls; an attempt that connects is withdrawn before its first byte and its call goes on elsewhere. A service without a server in use refuses at once with EVACUATED; Retry-After follows the age of the evacuation, since nobody says its end. Probes go on. When a data centre is taken back, its servers count as cold: ServiceRegistry.recordEvacuationEnd is the place for warm-up. Status has a line and /metrics has counts. Rests moved to ServerPauses, the audit of crashes to CrashDetector, so that ServiceRegistry does not grow.

--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/ConfigurationComparison.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ConfigurationComparison.java
@@ -63,6 +63,7 @@
             }
             addChanges(lines, old.get(), next);
         }
+        addChange(lines, "evacuated data centres", before.evacuatedDataCentres(), after.evacuatedDataCentres());
         if (lines.isEmpty()) {
             lines.add("no service changes");
         }
--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/StatusTable.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/StatusTable.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Formats the status of a gateway as a table. */
 final class StatusTable {
@@ -40,6 +42,7 @@
                         replica.getKey(),
                         replica.getValue().path("last-reached").asText(),
                         formatFailure(replica.getValue().path("failure").asText()))));
+        root.path("evacuated-data-centres").forEach(evacuation -> addEvacuation(text, evacuation));
         root.path("hosts").forEach(host -> addHost(text, host));
         root.path("convictions")
                 .forEach(conviction -> text.append(String.format(
@@ -50,6 +53,30 @@
         return text.toString();
     }
 
+    /**
+     * Adds the line of an evacuated data centre.
+     *
+     * @param text receives the line
+     * @param evacuation the evacuation's part of the status
+     */
+    private static void addEvacuation(StringBuilder text, JsonNode evacuation) {
+        List<String> requests = new ArrayList<>();
+        evacuation
+                .path("requested-by")
+                .forEach(request -> requests.add(String.format(
+                        "%s %s, revision %d, from %s",
+                        request.path("origin").asText(),
+                        request.path("name").asText(),
+                        request.path("revision").asLong(),
+                        request.path("source").asText())));
+        text.append(String.format(
+                "  EVACUATED data centre %s: for %d ms, %d requests under way, by %s%n",
+                evacuation.path("data-centre").asText(),
+                evacuation.path("for-milliseconds").asLong(),
+                evacuation.path("in-flight").asInt(),
+                String.join("; ", requests)));
+    }
+
     /**
      * Adds the line of a peer.
      *
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationReader.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationReader.java
@@ -77,8 +77,10 @@
         CallerLimits callerLimits = reader.has("caller-limits")
                 ? CallerRouteReader.readLimits(reader.mapping("caller-limits"))
                 : CallerLimits.UNBOUNDED;
+        List<String> evacuated =
+                reader.has("evacuated-data-centres") ? reader.texts("evacuated-data-centres") : List.of();
         reader.rejectUnknownKeys();
-        return new Configuration(revision, parentDigest, services, callerRoutes, callerLimits);
+        return new Configuration(revision, parentDigest, services, callerRoutes, callerLimits, evacuated);
     }
 
     /**
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
@@ -104,6 +104,10 @@
         if (!configuration.callerLimits().equals(CallerLimits.UNBOUNDED)) {
             addFields(root.putObject("caller-limits"), configuration.callerLimits());
         }
+        if (!configuration.evacuatedDataCentres().isEmpty()) {
+            ArrayNode evacuated = root.putArray("evacuated-data-centres");
+            configuration.evacuatedDataCentres().forEach(evacuated::add);
+        }
         return root;
     }
 
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Configuration.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Configuration.java
@@ -12,18 +12,39 @@
  * @param services the services
  * @param callerRoutes the routes by host name and path; if empty, requests are routed by the path prefixes of services
  * @param callerLimits the limits for callers
+ * @param evacuatedDataCentres the data centres whose backend servers get no requests
  */
 public record Configuration(
         long revision,
         String parentDigest,
         List<Service> services,
         List<CallerRoute> callerRoutes,
-        CallerLimits callerLimits) {
+        CallerLimits callerLimits,
+        List<String> evacuatedDataCentres) {
 
     /** Creates a configuration with immutable copies of its lists. */
     public Configuration {
         services = List.copyOf(services);
         callerRoutes = List.copyOf(callerRoutes);
+        evacuatedDataCentres = List.copyOf(evacuatedDataCentres);
+    }
+
+    /**
+     * Creates a configuration without evacuated data centres.
+     *
+     * @param revision the number by which revisions are ordered, at least one
+     * @param parentDigest the digest of the configuration that this one replaces, empty for the first
+     * @param services the services
+     * @param callerRoutes the routes by host name and path
+     * @param callerLimits the limits for callers
+     */
+    public Configuration(
+            long revision,
+            String parentDigest,
+            List<Service> services,
+            List<CallerRoute> callerRoutes,
+            CallerLimits callerLimits) {
+        this(revision, parentDigest, services, callerRoutes, callerLimits, List.of());
     }
 
     /**
@@ -51,7 +72,8 @@
     public Configuration service(Service service) {
         List<Service> extendedServices = new ArrayList<>(services);
         extendedServices.add(service);
-        return new Configuration(revision, parentDigest, extendedServices, callerRoutes, callerLimits);
+        return new Configuration(
+                revision, parentDigest, extendedServices, callerRoutes, callerLimits, evacuatedDataCentres);
     }
 
     /**
@@ -64,19 +86,25 @@
     public Configuration replacing(Service service) {
         List<Service> changedServices = new ArrayList<>(services);
         changedServices.replaceAll(current -> current.name().equals(service.name()) ? service : current);
-        return new Configuration(revision, parentDigest, changedServices, callerRoutes, callerLimits);
+        return new Configuration(
+                revision, parentDigest, changedServices, callerRoutes, callerLimits, evacuatedDataCentres);
     }
 
     /** Returns a copy of this configuration with an additional route by host name. */
     public Configuration callerRoute(CallerRoute route) {
         List<CallerRoute> extendedRoutes = new ArrayList<>(callerRoutes);
         extendedRoutes.add(route);
-        return new Configuration(revision, parentDigest, services, extendedRoutes, callerLimits);
+        return new Configuration(revision, parentDigest, services, extendedRoutes, callerLimits, evacuatedDataCentres);
     }
 
     /** Returns a copy of this configuration with other limits for callers. */
     public Configuration callerLimits(CallerLimits limits) {
-        return new Configuration(revision, parentDigest, services, callerRoutes, limits);
+        return new Configuration(revision, parentDigest, services, callerRoutes, limits, evacuatedDataCentres);
+    }
+
+    /** Returns a copy of this configuration with other evacuated data centres. */
+    public Configuration evacuatedDataCentres(List<String> dataCentres) {
+        return new Configuration(revision, parentDigest, services, callerRoutes, callerLimits, dataCentres);
     }
 
     /**
@@ -87,7 +115,7 @@
      * @return the new configuration
      */
     public Configuration following(long newRevision, String digest) {
-        return new Configuration(newRevision, digest, services, callerRoutes, callerLimits);
+        return new Configuration(newRevision, digest, services, callerRoutes, callerLimits, evacuatedDataCentres);
     }
 
     /** Returns the service with a name, empty if there is none. */
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
@@ -83,9 +83,48 @@
                     configuration.callerRoutes().get(index),
                     names);
         }
+        checkEvacuations(findings, configuration);
         return findings.list;
     }
 
+    /**
+     * Checks the evacuated data centres. Evacuations that leave a configured service without a backend server are
+     * reported as dangerous, and so is one of a data centre without any, unless backend servers announce themselves.
+     *
+     * @param findings collects the violated rules
+     * @param configuration the configuration
+     */
+    private static void checkEvacuations(Findings findings, Configuration configuration) {
+        List<String> evacuated = configuration.evacuatedDataCentres();
+        Set<String> dataCentres = new HashSet<>();
+        boolean announced = false;
+        for (Service service : configuration.services()) {
+            announced |= service.discovery().announced();
+            service.backendServers().forEach(server -> dataCentres.add(server.dataCentre()));
+        }
+        Set<String> names = new HashSet<>();
+        for (int index = 0; index < evacuated.size(); index++) {
+            String path = "evacuated-data-centres[" + index + "]";
+            String name = evacuated.get(index);
+            findings.require(NAME_PATTERN.matcher(name).matches(), path, name, ALLOWED_NAME_FORMAT);
+            findings.require(names.add(name), path, name, "a data centre named once");
+            if (!announced && !dataCentres.contains(name)) {
+                String problem = "data centre \"" + name + "\" has no backend server; check its name";
+                findings.list.add(new Finding(Severity.DANGEROUS, path, problem));
+            }
+        }
+        for (Service service : configuration.services()) {
+            boolean emptied = !service.discovery().announced()
+                    && !service.backendServers().isEmpty()
+                    && service.backendServers().stream().allMatch(server -> names.contains(server.dataCentre()));
+            if (emptied) {
+                String problem = "all backend servers of service \"" + service.name() + "\" are in evacuated data"
+                        + " centres, so that each of its requests would be refused";
+                findings.list.add(new Finding(Severity.DANGEROUS, "evacuated-data-centres", problem));
+            }
+        }
+    }
+
     /**
      * Checks the values of a service and its routes, except for its backend servers.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
@@ -145,7 +145,7 @@
      * host.
      */
     private void launchSuspected(ServiceState service, long now, DecisionSink sink) {
-        CallState suspected = service.quarantine().pollReady(service.servers(), poisonRequests, now);
+        CallState suspected = service.quarantine().pollReady(service.serversInUse(), poisonRequests, now);
         if (suspected != null) {
             selector.beginSelection(service, suspected, now);
             AttemptState attempt = launch(suspected, service.quarantine().reserved(), "alone", now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -92,15 +92,16 @@
         }
         boolean late = attempt.call().terms().deadline() - now <= 0;
         boolean leaving = !attempt.forwarded()
-                && (attempt.server().leavingCause() != LeavingCause.NONE || isRemoved(attempt.server()));
+                && (attempt.server().leavingCause() != LeavingCause.NONE || services.removed(attempt.server()));
         if (late || leaving) {
             sink.decide(new Decision.Withdraw(identifier));
             handleUnsent(
                     new Event.AttemptUnsent(identifier, late ? "deadline passed" : "backend server leaves"), now, sink);
             return;
         }
-        if (!attempt.forwarded() && attempt.server().rest().active(now)) {
-            withdraw(attempt, Reason.RESTING, now, sink);
+        Reason pause = services.pauses().reason(attempt, now);
+        if (pause != null) {
+            withdraw(attempt, pause, now, sink);
             return;
         }
         if (!permits.acquire(attempt, now)) {
@@ -143,11 +144,6 @@
         continuation.launchWaiting(attempt.call(), now, sink);
     }
 
-    /** Returns whether no service contains the backend server any more. */
-    private boolean isRemoved(ServerState server) {
-        return services.server(server.identity()) != server;
-    }
-
     /**
      * Handles an attempt that ended before any byte was written to a connection. Records that the
      * backend server is unreachable and counts a failure towards its ejection, unless it is leaving or the request had
@@ -331,7 +327,7 @@
         }
         services.limits().record(server, statedLimit(answer), now, "answer with status " + answer.status(), now, sink);
         if (answer.restNanoseconds() > 0) {
-            services.recordRest(server, answer.restNanoseconds(), now, sink);
+            services.pauses().recordRest(server, answer.restNanoseconds(), now, sink);
         } else if (!answer.refused()) {
             server.rest().recordAcceptance();
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
@@ -74,6 +74,10 @@
             finalAnswers.abandon(call, Reason.STOPPING, now, sink);
             return;
         }
+        if (service.evacuated()) {
+            finalAnswers.abandon(call, Reason.EVACUATED, now, sink);
+            return;
+        }
         if (suspectedCalls.mustRunAlone(call, now)) {
             suspectedCalls.attemptOrQueue(service, call, now, sink);
             return;
@@ -103,13 +107,14 @@
 
     /** Returns why a call that has to wait is refused, or {@code null} if it can still be answered in time. */
     private Reason refusalReason(ServiceState service, CallState call, long now) {
-        long restNanoseconds = RestingServers.nanosecondsUntilFirst(service.servers(), now);
-        boolean enoughWait = service.waitingCalls().size() >= service.servers().size();
+        long restNanoseconds = RestingServers.nanosecondsUntilFirst(service.serversInUse(), now);
+        boolean enoughWait =
+                service.waitingCalls().size() >= service.serversInUse().size();
         if (restNanoseconds > 0 && enoughWait || missesDeadlineAfterRest(service, call, restNanoseconds, now)) {
             return Reason.RESTING;
         }
         int ahead = service.waitingCalls().countAhead(call);
-        LimitedCapacity limited = LimitedCapacity.of(service.servers(), now);
+        LimitedCapacity limited = LimitedCapacity.of(service.serversInUse(), now);
         if (limited.everyServerLimited()) {
             long wait = LIMITED_WAIT_MARGIN * limitedWaitNanoseconds(service, call, ahead, limited, now);
             return missesDeadline(service, call, now + wait) ? Reason.LIMITED : null;
@@ -124,8 +129,8 @@
     /** Returns the expected time until a call that has to wait is sent, in nanoseconds. */
     private long waitNanoseconds(ServiceState service, CallState call, int ahead, long now) {
         return call.terms().route().isEmpty()
-                ? ExpectedWait.nanoseconds(ahead, service.servers())
-                : ExpectedWait.nanosecondsInFleet(ahead, service.servers(), services.hostCount(), now);
+                ? ExpectedWait.nanoseconds(ahead, service.serversInUse())
+                : ExpectedWait.nanosecondsInFleet(ahead, service.serversInUse(), services.hostCount(), now);
     }
 
     /**
@@ -210,6 +215,18 @@
         }
     }
 
+    /** Abandons all waiting calls if the evacuations of data centres leave no backend server for them. */
+    void abandonEvacuated(ServiceState service, long now, DecisionSink sink) {
+        if (!service.evacuated()) {
+            return;
+        }
+        CallState call = findWaiting(service, waiting -> true);
+        while (call != null) {
+            finalAnswers.abandon(call, Reason.EVACUATED, now, sink);
+            call = findWaiting(service, waiting -> true);
+        }
+    }
+
     /**
      * Moves waiting calls that miss their target latency behind the others, and abandons those that have found no room
      * or can no longer be answered before their deadline.
@@ -231,8 +248,8 @@
      */
     private void abandonWithoutRoom(ServiceState service, long now, DecisionSink sink) {
         if (service.waitingCalls().size() == 0
-                || RestingServers.nanosecondsUntilFirst(service.servers(), now) > 0
-                || LimitedCapacity.of(service.servers(), now).everyServerLimited()) {
+                || RestingServers.nanosecondsUntilFirst(service.serversInUse(), now) > 0
+                || LimitedCapacity.of(service.serversInUse(), now).everyServerLimited()) {
             return;
         }
         Predicate<CallState> withoutRoom = call -> call.attempts().isEmpty() && service.missesTarget(call, now);
@@ -256,7 +273,7 @@
 
     /** Abandons the calls that would wait too long for the end of a rest. Does nothing while a server takes calls. */
     void abandonBeyondRest(ServiceState service, long now, DecisionSink sink) {
-        long restNanoseconds = RestingServers.nanosecondsUntilFirst(service.servers(), now);
+        long restNanoseconds = RestingServers.nanosecondsUntilFirst(service.serversInUse(), now);
         if (restNanoseconds == 0) {
             return;
         }
@@ -283,7 +300,7 @@
         if (service.waitingCalls().size() == 0) {
             return;
         }
-        LimitedCapacity limited = LimitedCapacity.of(service.servers(), now);
+        LimitedCapacity limited = LimitedCapacity.of(service.serversInUse(), now);
         if (!limited.everyServerLimited()) {
             return;
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallCoordinator.java
@@ -233,6 +233,7 @@
     public void useAvailableCapacity(long now, DecisionSink sink) {
         for (ServiceState service : services.all()) {
             continuation.updateSuspected(service, now, sink);
+            continuation.abandonEvacuated(service, now, sink);
             continuation.abandonLate(service, now, sink);
             continuation.abandonBeyondRest(service, now, sink);
             continuation.abandonBeyondLimits(service, now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
@@ -207,7 +208,7 @@
             services.recordCrash(crash);
         }
         CallTerms terms = candidate.attempt.call().terms();
-        services.auditCrash(finding, crash, terms, sink);
+        auditCrash(finding, crash, terms, sink);
     }
 
     /** Withdraws the suspicion that a broken connection raised, and ends the trial of a suspected request. */
@@ -215,6 +216,26 @@
         poisonRequests.withdraw(candidate.fingerprint(), candidate.server().processName());
     }
 
+    /**
+     * Audits what the end of a backend server that this host found means for a request: that the request is blocked,
+     * and in a fleet that exchanges such findings everything else that it changes.
+     */
+    private void auditCrash(CrashFinding finding, Crash crash, CallTerms terms, DecisionSink sink) {
+        if (services.settings().fleet().enabled()) {
+            finding.auditOwn(
+                    crash, services.settings().name(), services.configuration().revision(), sink);
+        }
+        if (finding == CrashFinding.BLOCKED) {
+            sink.decide(new Decision.Audit(new Decision.Change(
+                    Decision.Subject.REQUEST_CONVICTED,
+                    terms.method() + " " + terms.path() + " " + Long.toHexString(crash.fingerprint()),
+                    "suspected",
+                    "convicted",
+                    "crashes of backend servers coincided with it, last " + crash.server(),
+                    services.configuration().revision())));
+        }
+    }
+
     /** Audits a finding about a possible crash. */
     private void audit(CrashFinding finding, Crash crash, String cause, DecisionSink sink) {
         services.auditSuspicion(finding, crash.fingerprint(), crash.server() + ": " + cause, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
@@ -58,6 +58,9 @@
         long retryAfterMilliseconds = callerMayRetry
                 ? retryAfterDelay.milliseconds(call.terms(), reason, service, services.hostCount(), now)
                 : 0;
+        if (reason == Reason.EVACUATED) {
+            services.evacuations().recordRefusal();
+        }
         String explanation = explanation(call, service, now);
         finish(call, now, sink);
         sink.decide(new Decision.Refuse(
@@ -81,6 +84,8 @@
         if (service != null) {
             text.append(service.waitingCalls().size()).append(" waiting, ");
             text.append(service.servers().size()).append(" backend servers");
+            int evacuated = service.servers().size() - service.serversInUse().size();
+            text.append(evacuated == 0 ? "" : ", " + evacuated + " of them in evacuated data centres");
             long limited = service.servers().stream()
                     .filter(server -> server.allowance().limited(now))
                     .count();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/RetryAfterDelay.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/RetryAfterDelay.java
@@ -35,6 +35,12 @@
     /** The mean delay while the gateway has just started and has no configuration yet. */
     private static final long STARTUP_DELAY_MILLISECONDS = 150;
 
+    /** The minimum mean delay while the data centres of the backend servers are evacuated. */
+    private static final double MINIMUM_EVACUATION_DELAY_NANOSECONDS = 1_000_000_000.0;
+
+    /** The maximum mean delay while the data centres of the backend servers are evacuated. */
+    private static final double MAXIMUM_EVACUATION_DELAY_NANOSECONDS = 30_000_000_000.0;
+
     /** The maximum mean delay while backend servers limit their requests. */
     private static final double MAXIMUM_LIMITED_DELAY_NANOSECONDS = 30_000_000_000.0;
 
@@ -63,6 +69,9 @@
         if (reason == Reason.STOPPING) {
             return jitter(TRANSIENT_FAILURE_DELAY_MILLISECONDS);
         }
+        if (reason == Reason.EVACUATED && service != null) {
+            return jitter(evacuationNanoseconds(service, now) / NANOSECONDS_PER_MILLISECOND);
+        }
         if (terms.route().isEmpty()) {
             return expectedWaitMilliseconds(service);
         }
@@ -70,7 +79,7 @@
             return jitter(limitedNanoseconds(service, hostCount, now) / NANOSECONDS_PER_MILLISECOND);
         }
         if (reason == Reason.RESTING && service != null) {
-            long rest = RestingServers.nanosecondsUntilFirst(service.servers(), now);
+            long rest = RestingServers.nanosecondsUntilFirst(service.serversInUse(), now);
             return Math.round(rest / NANOSECONDS_PER_MILLISECOND) + jitter(TRANSIENT_FAILURE_DELAY_MILLISECONDS);
         }
         if (reason == Reason.REFUSED || reason == Reason.NO_CONNECTION) {
@@ -95,7 +104,7 @@
      * #MAXIMUM_LIMITED_DELAY_NANOSECONDS}.
      */
     private static double limitedNanoseconds(ServiceState service, int hostCount, long now) {
-        LimitedCapacity limited = LimitedCapacity.of(service.servers(), now);
+        LimitedCapacity limited = LimitedCapacity.of(service.serversInUse(), now);
         long waitNanoseconds = limited.waitNanoseconds(service.waitingCalls().size(), 0);
         double expected = waitNanoseconds == LimitedCapacity.NEVER
                 ? hostCount / limited.requestsPerNanosecond()
@@ -103,6 +112,15 @@
         return Math.min(MAXIMUM_LIMITED_DELAY_NANOSECONDS, expected);
     }
 
+    /**
+     * Returns the time after which the first of a service's data centres may be taken back, in nanoseconds. Nobody says
+     * when: an evacuation that has lasted for some time is expected to last as long again.
+     */
+    private static double evacuationNanoseconds(ServiceState service, long now) {
+        double age = service.evacuations().latestAge(service.servers(), now);
+        return Math.max(MINIMUM_EVACUATION_DELAY_NANOSECONDS, Math.min(MAXIMUM_EVACUATION_DELAY_NANOSECONDS, age));
+    }
+
     /** Returns a random time between half and one and a half times the given one, in milliseconds, at least one. */
     private long jitter(double milliseconds) {
         return Math.max(1, Math.round(milliseconds * (0.5 + random.nextDouble())));
@@ -118,6 +136,6 @@
         return service == null
                 ? MILLISECONDS_PER_SECOND
                 : MILLISECONDS_PER_SECOND
-                        * ExpectedWait.retryAfterSeconds(service.waitingCalls().size(), service.servers());
+                        * ExpectedWait.retryAfterSeconds(service.waitingCalls().size(), service.serversInUse());
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -1,5 +1,6 @@
 package org.chivecourse.coordination.call;
 
+import java.util.List;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.chivecourse.coordination.choice.Candidates;
@@ -33,13 +34,15 @@
     void beginSelection(ServiceState service, CallState call, long now) {
         double typicalNanoseconds = service.workTimes()
                 .nanoseconds(call.terms().route(), call.terms().targetLatencyNanoseconds());
-        candidates.begin(service.servers(), service.reportedTotal().averagePerServer(), typicalNanoseconds, now);
+        candidates.begin(service.serversInUse(), service.reportedTotal().averagePerServer(), typicalNanoseconds, now);
         if (call.attempts().isEmpty() && service.missesTarget(call, now)) {
             candidates.leaveRoom();
         }
         reserved = service.quarantine().reserved();
         candidates.expectUnreported(
-                service.otherHostsRequestsPerNanosecond(now), service.servers(), server -> isAvailable(server, now));
+                service.otherHostsRequestsPerNanosecond(now),
+                service.serversInUse(),
+                server -> isAvailable(server, now));
     }
 
     /**
@@ -64,12 +67,13 @@
      * the sample contains no eligible one.
      */
     private void collectSample(ServiceState service, Predicate<ServerState> eligible) {
-        int serverCount = service.servers().size();
+        int serverCount = service.serversInUse().size();
         if (serverCount > policy.maximumSampleSize()) {
-            candidates.collect(service.servers(), eligible, random.nextInt(serverCount), policy.maximumSampleSize());
+            candidates.collect(
+                    service.serversInUse(), eligible, random.nextInt(serverCount), policy.maximumSampleSize());
         }
         if (candidates.size() == 0) {
-            candidates.collect(service.servers(), eligible);
+            candidates.collect(service.serversInUse(), eligible);
         }
     }
 
@@ -86,7 +90,7 @@
             collectSample(service, server -> isAvailable(server, now));
         }
         if (candidates.size() == 0) {
-            candidates.collect(service.servers(), server -> isAvailableIgnoringEjection(server, now));
+            candidates.collect(service.serversInUse(), server -> isAvailableIgnoringEjection(server, now));
         }
         if (candidates.size() == 0) {
             return null;
@@ -107,9 +111,14 @@
         return candidates.size();
     }
 
-    /** Returns whether a service has a backend server that is not leaving, so that a call may wait for it. */
+    /** Returns whether a service has a backend server in use that is not leaving, so that a call may wait for it. */
     static boolean hasServerInService(ServiceState service) {
-        for (ServerState server : service.servers()) {
+        return hasInService(service.serversInUse());
+    }
+
+    /** Returns whether one of some backend servers is not leaving. */
+    static boolean hasInService(List<ServerState> servers) {
+        for (ServerState server : servers) {
             if (server.leavingCause() == LeavingCause.NONE) {
                 return true;
             }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -14,6 +14,7 @@
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.evacuation.Evacuations;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.fleet.ObservationOutbox;
 import org.chivecourse.coordination.forward.ForwardingPeers;
@@ -21,7 +22,6 @@
 import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.registry.ServerRegistry;
 import org.chivecourse.coordination.route.RouteTable;
-import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
@@ -32,14 +32,8 @@
 /** The services of the configuration in force, with what this host knows of their backend servers. */
 public final class ServiceRegistry {
 
-    /** The longest time by which a rest ends later than asked for, in nanoseconds. */
-    private static final double MAXIMUM_REST_SPREAD_NANOSECONDS = 500_000_000;
-
-    /** The share of a rest by which it ends later than asked for at most. */
-    private static final double REST_SPREAD_SHARE = 0.2;
-
-    /** The number of nanoseconds in a millisecond. */
-    private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
+    /** The time for which a backend server counts as cold that may have become so unseen, in nanoseconds. */
+    private static final long ASSUMED_WARM_UP_NANOSECONDS = 5_000_000_000L;
 
     /** The settings of this host. */
     private final HostSettings settings;
@@ -74,9 +68,15 @@
     /** The services by the identity of their backend servers. */
     private final Map<String, ServiceState> serviceOfServer = new HashMap<>();
 
+    /** The data centres whose backend servers get no requests. */
+    private final Evacuations evacuations;
+
     /** The request limits of the backend servers. */
     private final RequestLimitRegistry limits;
 
+    /** Why backend servers in service get no requests at present. */
+    private final ServerPauses pauses;
+
     /** This host's own links to the backend servers. */
     private final ServiceLinks links = new ServiceLinks(this);
 
@@ -85,12 +85,18 @@
 
     /** Creates a register without services. */
     public ServiceRegistry(
-            HostSettings settings, ServerRegistry registry, ForwardingPeers forwardingPeers, RandomGenerator random) {
+            HostSettings settings,
+            ServerRegistry registry,
+            Evacuations evacuations,
+            ForwardingPeers forwardingPeers,
+            RandomGenerator random) {
         this.settings = settings;
         this.registry = registry;
+        this.evacuations = evacuations;
         this.forwardingPeers = forwardingPeers;
         this.random = random;
         limits = new RequestLimitRegistry(this, random);
+        pauses = new ServerPauses(this, random);
         hostCount = settings.expectedHosts();
         routes = new RouteTable(List.of(), random);
     }
@@ -114,7 +120,13 @@
             ServiceState state = services.get(service.name());
             if (state == null) {
                 state = new ServiceState(
-                        service, servers, registry.ofService(service.name()), settings, () -> hostCount, now);
+                        service,
+                        servers,
+                        registry.ofService(service.name()),
+                        settings,
+                        () -> hostCount,
+                        evacuations,
+                        now);
             } else {
                 state.reconfigure(service, servers, registry.ofService(service.name()), now);
             }
@@ -131,6 +143,16 @@
             }
         }
         departedServers.update(before, servers);
+        evacuations.takeEnded().forEach(dataCentre -> recordEvacuationEnd(dataCentre, now));
+    }
+
+    /** Records that the evacuation of a data centre has ended, whose backend servers may have become cold meanwhile. */
+    private void recordEvacuationEnd(String dataCentre, long now) {
+        for (ServerState server : servers.values()) {
+            if (server.server().dataCentre().equals(dataCentre)) {
+                server.setColdUntil(now + ASSUMED_WARM_UP_NANOSECONDS);
+            }
+        }
     }
 
     /** Changes the number of hosts that may run gateways. */
@@ -183,24 +205,6 @@
         }
     }
 
-    /**
-     * Records that a backend server asked this host for rest. Each host ends the rest a little later than asked for, so
-     * that they do not all return at once.
-     */
-    public void recordRest(ServerState server, long restNanoseconds, long now, DecisionSink sink) {
-        double spread = Math.min(MAXIMUM_REST_SPREAD_NANOSECONDS, REST_SPREAD_SHARE * restNanoseconds);
-        long until = now + restNanoseconds + (long) (random.nextDouble() * spread);
-        if (server.rest().request(until, now)) {
-            sink.decide(new Decision.Audit(new Decision.Change(
-                    Decision.Subject.SERVER_RESTING,
-                    server.identity(),
-                    "taking requests",
-                    "resting",
-                    "asked for " + restNanoseconds / NANOSECONDS_PER_MILLISECOND + " ms",
-                    configuration.revision())));
-        }
-    }
-
     /** Records that a backend server told this host that it leaves, and queues that for other hosts. */
     public void recordLeaving(ServerState server, LeavingCause cause, long now, DecisionSink sink) {
         if (servers.get(server.identity()) != server) {
@@ -281,25 +285,6 @@
         }
     }
 
-    /**
-     * Audits what the end of a backend server that this host found means for a request: that the request is blocked,
-     * and in a fleet that exchanges such findings everything else that it changes.
-     */
-    void auditCrash(CrashFinding finding, Crash crash, CallTerms terms, DecisionSink sink) {
-        if (settings.fleet().enabled()) {
-            finding.auditOwn(crash, settings.name(), configuration.revision(), sink);
-        }
-        if (finding == CrashFinding.BLOCKED) {
-            sink.decide(new Decision.Audit(new Decision.Change(
-                    Decision.Subject.REQUEST_CONVICTED,
-                    terms.method() + " " + terms.path() + " " + Long.toHexString(crash.fingerprint()),
-                    "suspected",
-                    "convicted",
-                    "crashes of backend servers coincided with it, last " + crash.server(),
-                    configuration.revision())));
-        }
-    }
-
     /**
      * Queues an observation for other hosts if this host belongs to a fleet that exchanges them, and the server is one
      * that they know.
@@ -352,6 +337,11 @@
         return all;
     }
 
+    /** Returns whether no service contains a backend server any more. */
+    boolean removed(ServerState server) {
+        return servers.get(server.identity()) != server;
+    }
+
     /** Returns the backend server with the given identity, or {@code null} if there is none. */
     public ServerState server(String identity) {
         return servers.get(identity);
@@ -409,11 +399,21 @@
         return services.values();
     }
 
+    /** Returns the data centres whose backend servers get no requests. */
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
     /** Returns the request limits of the backend servers. */
     public RequestLimitRegistry limits() {
         return limits;
     }
 
+    /** Returns why backend servers in service get no requests at present. */
+    public ServerPauses pauses() {
+        return pauses;
+    }
+
     /** Returns this host's own links to the backend servers. */
     public ServiceLinks links() {
         return links;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -9,6 +9,7 @@
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.choice.SendRate;
 import org.chivecourse.coordination.choice.TypicalWorkTimes;
+import org.chivecourse.coordination.evacuation.Evacuations;
 import org.chivecourse.coordination.health.LinkMonitor;
 import org.chivecourse.coordination.hedge.HedgeCandidates;
 import org.chivecourse.coordination.hedge.HedgeSchedule;
@@ -36,6 +37,12 @@
     /** The service as configured. */
     private Service service;
 
+    /** The data centres whose backend servers get no requests. */
+    private final Evacuations evacuations;
+
+    /** The backend servers outside evacuated data centres, in the order of all. */
+    private List<ServerState> serversInUse = List.of();
+
     /** The configured backend servers in their order, followed by those that announced themselves. */
     private List<ServerState> servers = new ArrayList<>();
 
@@ -86,6 +93,7 @@
      *
      * @param known the backend servers that the host already knows, by identity
      * @param announced the backend servers that announced themselves
+     * @param evacuations the data centres whose backend servers get no requests
      */
     ServiceState(
             Service service,
@@ -93,7 +101,9 @@
             List<RegisteredServer> announced,
             HostSettings settings,
             IntSupplier hostCount,
+            Evacuations evacuations,
             long now) {
+        this.evacuations = evacuations;
         this.settings = settings;
         this.hostCount = hostCount;
         this.service = service;
@@ -141,6 +151,7 @@
             announced.forEach(server -> next.add(announcedServerState(known, server, now)));
         }
         servers = next;
+        serversInUse = evacuations.without(servers);
         reportedTotal.track(servers);
     }
 
@@ -179,6 +190,28 @@
         return servers;
     }
 
+    /** Returns the backend servers that may get requests as far as evacuations go, in the order of all. */
+    public List<ServerState> serversInUse() {
+        return serversInUse;
+    }
+
+    /** Returns whether it has a backend server in a data centre, evacuated or not. */
+    public boolean hasServerIn(String dataCentre) {
+        return servers.stream().anyMatch(server -> server.server().dataCentre().equals(dataCentre));
+    }
+
+    /** Returns whether no backend server is in service, but one would be without the evacuations of data centres. */
+    boolean evacuated() {
+        return serversInUse.size() < servers.size()
+                && !ServerSelector.hasInService(serversInUse)
+                && ServerSelector.hasInService(servers);
+    }
+
+    /** Returns the data centres whose backend servers get no requests. */
+    Evacuations evacuations() {
+        return evacuations;
+    }
+
     /** Returns the sum of other hosts' requests in the last load reports. */
     ReportedTotal reportedTotal() {
         return reportedTotal;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -295,6 +295,9 @@
         /** The rest that a backend server asked this host for. */
         SERVER_RESTING,
 
+        /** Whether a data centre is evacuated. */
+        DATA_CENTRE_EVACUATED,
+
         /** A backend server that announced itself, or whose announcement was removed. */
         SERVER_REGISTERED,
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -80,6 +80,9 @@
     /** All backend servers that could take the request have asked for rest. */
     RESTING(503, "the backend servers asked for rest"),
 
+    /** All backend servers that could take the request are in data centres that the operator has evacuated. */
+    EVACUATED(503, "the data centres of the service's backend servers take no requests now"),
+
     /** The connection to the backend server broke before the answer. */
     CONNECTION_BROKEN(502, "the connection to the backend server broke before the answer");
 
@@ -87,7 +90,8 @@
     private static final int NOT_RUN_STATUS = 503;
 
     /** The reasons for which a request that may have run ended with its connection. */
-    private static final Set<Reason> CONNECTION_REASONS = EnumSet.of(REFUSED, NO_CONNECTION, CONVICTED, SUSPECTED);
+    private static final Set<Reason> CONNECTION_REASONS =
+            EnumSet.of(REFUSED, NO_CONNECTION, CONVICTED, SUSPECTED, EVACUATED);
 
     /** The status code of the answer. */
     private final int status;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.chivecourse.configuration.format.LoadedConfiguration;
+import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.rule.Finding;
 import org.chivecourse.coordination.call.CallCoordinator;
 import org.chivecourse.coordination.call.ServiceRegistry;
@@ -96,7 +97,8 @@
         this.settings = settings;
         publishedState = new PublishedState(decoder, new PublicationListener());
         forwardingPeers = new ForwardingPeers(settings);
-        services = new ServiceRegistry(settings, publishedState.registry(), forwardingPeers, random);
+        services = new ServiceRegistry(
+                settings, publishedState.registry(), publishedState.evacuations(), forwardingPeers, random);
         membership = new Membership(settings, random);
         keyOwnership = new KeyOwnership(settings, membership);
         calls = new CallCoordinator(settings, services, keyOwnership, forwardingPeers, random);
@@ -263,7 +265,9 @@
         for (Finding danger : configuration.dangers()) {
             sink.decide(configurationAudit("danger", "", danger.problem(), source));
         }
-        services.apply(configuration.printed().configuration(), now);
+        Configuration changed = configuration.printed().configuration();
+        publishedState.evacuations().configure(changed.evacuatedDataCentres(), revision, source, now, sink);
+        services.apply(changed, now);
         sink.decide(new Decision.Apply(configuration.printed()));
         sink.decide(new Decision.UseServers(services.backendServers()));
         calls.useAvailableCapacity(now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
@@ -53,13 +53,14 @@
     }
 
     /**
-     * Starts the health checks and probes that are due. With assigned probes, only those are started: they also report
-     * health.
+     * Starts the health checks and probes that are due, and audits evacuations of data centres without backend servers.
+     * With assigned probes, only those are started: they also report health.
      *
      * @param now the current time in nanoseconds
      * @param sink receives the resulting decisions
      */
     void handleTimePassed(long now, DecisionSink sink) {
+        services.evacuations().auditUnknown(this::hasServerIn, now, sink);
         if (assignedProbes != null) {
             assignedProbes.startDueProbes(now, sink);
             return;
@@ -74,6 +75,11 @@
         }
     }
 
+    /** Returns whether a service has a backend server in a data centre. */
+    private boolean hasServerIn(String dataCentre) {
+        return services.all().stream().anyMatch(service -> service.hasServerIn(dataCentre));
+    }
+
     /** Starts the health checks of a service that are due. */
     private void startHealthChecks(ServiceState service, long now, DecisionSink sink) {
         for (ServerState server : service.servers()) {
@@ -148,7 +154,7 @@
             default -> recordAnsweredProbe(server, true, now);
         }
         if (ended.restNanoseconds() > 0 && ended.finding() != ProbeFinding.OTHER_SERVER) {
-            services.recordRest(server, ended.restNanoseconds(), now, sink);
+            services.pauses().recordRest(server, ended.restNanoseconds(), now, sink);
         }
         boolean statesLimit = ended.limit() != null && !ended.limit().unlimited();
         if (statesLimit && ended.finding() != ProbeFinding.OTHER_SERVER) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
@@ -53,7 +53,7 @@
             reserved = running == null ? null : reserved;
             return null;
         }
-        if (reserved == null || !usable(reserved, now)) {
+        if (reserved == null || !servers.contains(reserved) || !usable(reserved, now)) {
             reserved = leastBusy(servers, next, poisonRequests, now);
         }
         if (reserved == null || reserved.ownInFlight() > 0) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublicationDecoder.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublicationDecoder.java
@@ -1,5 +1,6 @@
 package org.chivecourse.coordination.publication;
 
+import java.util.Optional;
 import org.chivecourse.state.publication.PublishedItem;
 
 /** Decodes published items. The adapter to a platform supplies an implementation. */
@@ -14,6 +15,17 @@
      */
     Publication decode(PublishedItem item);
 
+    /**
+     * Returns the data centre whose backend servers get no requests for as long as an item is published. The key of the
+     * item alone makes it such a request, whatever its value is.
+     *
+     * @param key the key of the item
+     * @return the name of the data centre, empty for any other item
+     */
+    default Optional<String> evacuatedDataCentre(String key) {
+        return Optional.empty();
+    }
+
     /** Treats each item as unrelated, for platforms that publish none. */
     enum Disabled implements PublicationDecoder {
         /** The only instance. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/publication/PublishedState.java
@@ -2,8 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
+import org.chivecourse.coordination.evacuation.EvacuationOrigin;
+import org.chivecourse.coordination.evacuation.EvacuationRequest;
+import org.chivecourse.coordination.evacuation.Evacuations;
 import org.chivecourse.coordination.registry.ServerRegistry;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.publication.ItemDifference;
@@ -23,6 +27,9 @@
     /** The backend servers that announce themselves. */
     private final AnnouncedServers servers = new AnnouncedServers();
 
+    /** The data centres whose backend servers get no requests. */
+    private final Evacuations evacuations = new Evacuations();
+
     /** The highest configuration that was published. */
     private final AcceptedConfiguration acceptedConfiguration = new AcceptedConfiguration();
 
@@ -146,7 +153,8 @@
     }
 
     /**
-     * Applies changed items, and reports to the listener if backend servers changed.
+     * Applies changed items, and reports to the listener if backend servers changed, or which of them may get requests.
+     * Evacuations go first, so that nothing else of the same change lets a call go to a data centre that it evacuates.
      *
      * @param changed the items and removals
      * @param restored whether the publisher was restored from a copy
@@ -155,7 +163,7 @@
      * @param sink receives the resulting decisions
      */
     private void applyItems(List<PublishedItem> changed, boolean restored, String source, long now, DecisionSink sink) {
-        boolean serversChanged = false;
+        boolean serversChanged = applyEvacuations(changed, restored, source, now, sink);
         long keepUntil = servers.keepUntil(changed, now);
         for (PublishedItem item : changed) {
             serversChanged |= applyItem(item, restored, keepUntil, source, now, sink);
@@ -165,6 +173,35 @@
         }
     }
 
+    /**
+     * Applies the starts and ends of evacuations among changed items, in their order.
+     *
+     * @return whether an evacuation started or ended
+     */
+    private boolean applyEvacuations(
+            List<PublishedItem> changed, boolean restored, String source, long now, DecisionSink sink) {
+        boolean any = false;
+        for (PublishedItem item : changed) {
+            Optional<String> dataCentre = decoder.evacuatedDataCentre(item.key());
+            if (dataCentre.isPresent()) {
+                any |= applyEvacuation(dataCentre.orElseThrow(), item, restored, source, now, sink);
+            }
+        }
+        return any;
+    }
+
+    /** Applies the start or the end of an evacuation, and returns whether it started or ended. */
+    private boolean applyEvacuation(
+            String dataCentre, PublishedItem item, boolean restored, String source, long now, DecisionSink sink) {
+        EvacuationOrigin origin = EvacuationOrigin.PUBLISHED_ITEM;
+        if (item.removed()) {
+            String reason = item.key() + (restored ? " lost by the publisher, from " : " removed, from ") + source;
+            return evacuations.withdraw(dataCentre, origin, reason, item.revision(), sink);
+        }
+        EvacuationRequest request = new EvacuationRequest(origin, item.key(), item.revision(), source);
+        return evacuations.request(dataCentre, request, now, sink);
+    }
+
     /**
      * Applies a changed item.
      *
@@ -302,6 +339,11 @@
         return epochChanges;
     }
 
+    /** Returns the data centres whose backend servers get no requests. */
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
     /** Returns the backend servers that announce themselves. */
     public ServerRegistry registry() {
         return servers.registry();
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/call/RetryAfterDelayTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/call/RetryAfterDelayTest.java
@@ -13,6 +13,7 @@
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.choice.ChoicePolicy;
 import org.chivecourse.coordination.decision.Reason;
+import org.chivecourse.coordination.evacuation.Evacuations;
 import org.chivecourse.coordination.host.HostSettings;
 import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.server.RequestLimit;
@@ -37,6 +38,7 @@
             List.of(),
             new HostSettings("host-1", "a", HOSTS, ChoicePolicy.EARLIEST_FINISH, 100),
             () -> HOSTS,
+            new Evacuations(),
             NOW);
 
     private long milliseconds(double limit, int senders) {
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/TextDecoder.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/TextDecoder.java
@@ -1,6 +1,7 @@
 package org.chivecourse.coordination.fleet;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.chivecourse.configuration.format.ConfigurationReader;
 import org.chivecourse.coordination.publication.Publication;
 import org.chivecourse.coordination.publication.PublicationDecoder;
@@ -12,6 +13,8 @@
 
     static final String CONFIGURATION = "configuration";
 
+    private static final String EVACUATION_PREFIX = "evacuate ";
+
     private static final long FIRST_INCARNATION = 1;
 
     private static final int SEQUENCE_FIELD = 6;
@@ -42,8 +45,28 @@
         return new PublishedItem(item.key(), 0, text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Returns the request to evacuate a data centre. */
+    static PublishedItem evacuation(String dataCentre) {
+        return new PublishedItem(EVACUATION_PREFIX + dataCentre, 0, new byte[0]);
+    }
+
+    /** Returns the end of the request to evacuate a data centre. */
+    static PublishedItem evacuationEnd(String dataCentre) {
+        return PublishedItem.removal(EVACUATION_PREFIX + dataCentre, 0);
+    }
+
+    @Override
+    public Optional<String> evacuatedDataCentre(String key) {
+        return key.startsWith(EVACUATION_PREFIX)
+                ? Optional.of(key.substring(EVACUATION_PREFIX.length()))
+                : Optional.empty();
+    }
+
     @Override
     public Publication decode(PublishedItem item) {
+        if (evacuatedDataCentre(item.key()).isPresent()) {
+            return Publication.Unrelated.INSTANCE;
+        }
         String text = new String(item.value(), StandardCharsets.UTF_8);
         try {
             if (item.key().equals(CONFIGURATION)) {
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
@@ -7,6 +7,7 @@
 import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.call.ServiceState;
 import org.chivecourse.coordination.configuration.ConfigurationRegistry;
+import org.chivecourse.coordination.evacuation.Evacuation;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.membership.Membership;
 import org.chivecourse.coordination.publication.PublishedState;
@@ -44,6 +45,11 @@
         root.put("open-calls", core.openCalls());
         addConfiguration(root.putObject("configuration"), core.configurations());
         addPublication(root.putObject("publication"), core.publishedState());
+        ArrayNode evacuations = root.putArray("evacuated-data-centres");
+        core.services()
+                .evacuations()
+                .all()
+                .forEach(evacuation -> addEvacuation(evacuations.addObject(), evacuation, core, now));
         ArrayNode hostNodes = root.putArray("hosts");
         core.membership().peers().forEach(peer -> addPeer(hostNodes.addObject(), peer, core.membership(), now));
         ArrayNode blockedRequests = root.putArray("convictions");
@@ -90,6 +96,33 @@
         node.put("retained-configuration", publishedState.retainedConfigurationRevision());
     }
 
+    /**
+     * Adds an evacuated data centre, with the requests of this gateway that are still under way there.
+     *
+     * @param node receives the members
+     * @param evacuation the evacuation
+     * @param core the decision core
+     * @param now the time in nanoseconds
+     */
+    private static void addEvacuation(ObjectNode node, Evacuation evacuation, HostCore core, long now) {
+        int inFlight = core.services().all().stream()
+                .flatMap(service -> service.servers().stream())
+                .filter(server -> server.server().dataCentre().equals(evacuation.dataCentre()))
+                .mapToInt(ServerState::ownInFlight)
+                .sum();
+        node.put("data-centre", evacuation.dataCentre());
+        node.put("for-milliseconds", (now - evacuation.since()) / NANOSECONDS_PER_MILLISECOND);
+        node.put("in-flight", inFlight);
+        ArrayNode requests = node.putArray("requested-by");
+        evacuation
+                .requests()
+                .forEach(request -> requests.addObject()
+                        .put("origin", ConstantNames.of(request.origin()))
+                        .put("name", request.name())
+                        .put("revision", PublicationRevision.number(request.revision()))
+                        .put("source", request.source()));
+    }
+
     /**
      * Adds another gateway. Its revision is reported as the last known one if its latest digest is too old.
      *
