--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
@@ -106,9 +106,10 @@
         for (int index = 0; index < evacuated.size(); index++) {
             String path = "evacuated-data-centres[" + index + "]";
             String name = evacuated.get(index);
-            findings.require(NAME_PATTERN.matcher(name).matches(), path, name, ALLOWED_NAME_FORMAT);
+            boolean valid = NAME_PATTERN.matcher(name).matches();
+            findings.require(valid, path, name, ALLOWED_NAME_FORMAT);
             findings.require(names.add(name), path, name, "a data centre named once");
-            if (!announced && !dataCentres.contains(name)) {
+            if (valid && !announced && !dataCentres.contains(name)) {
                 String problem = "data centre \"" + name + "\" has no backend server; check its name";
                 findings.list.add(new Finding(Severity.DANGEROUS, path, problem));
             }
--- a/chivecourse-configuration/src/test/java/org/chivecourse/configuration/format/ConfigurationReaderTest.java
+++ b/chivecourse-configuration/src/test/java/org/chivecourse/configuration/format/ConfigurationReaderTest.java
@@ -55,6 +55,21 @@
                 allOf(startsWith("file.yaml:" + line + ": "), containsString(key), containsString(allowed)));
     }
 
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "[Si A]    | file.yaml:44: | evacuated-data-centres[0] | lower case letters",
+                "si-a      | file.yaml:44: | evacuated-data-centres    | a list of texts",
+                "[[si-a]]  | file.yaml:44: | evacuated-data-centres    | a list of texts",
+                "{si-a: 1} | file.yaml:44: | evacuated-data-centres    | a list of texts",
+            })
+    void reportsInvalidEvacuatedDataCentres(String value, String line, String key, String allowed) {
+        String text = VALID + "evacuated-data-centres: " + value + "\n";
+        Exception thrown = assertThrows(Exception.class, () -> reader.read("file.yaml", text));
+        assertThat(thrown.getMessage(), allOf(startsWith(line), containsString(key), containsString(allowed)));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/chivecourse-configuration/src/test/java/org/chivecourse/configuration/format/ConfigurationWriterTest.java
+++ b/chivecourse-configuration/src/test/java/org/chivecourse/configuration/format/ConfigurationWriterTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.chivecourse.configuration.TestConfigurations;
 import org.chivecourse.configuration.model.Configuration;
 import org.chivecourse.configuration.rule.ConfigurationException;
@@ -28,6 +29,16 @@
         assertThat(reader.read("test", printed.text()).printed(), equalTo(printed));
     }
 
+    @Test
+    void readsEvacuatedDataCentresBack() throws Exception {
+        Configuration configuration = TestConfigurations.small(7);
+        String dataCentre =
+                configuration.services().get(0).backendServers().get(0).dataCentre();
+        String text = writer.printUnchecked(configuration.evacuatedDataCentres(List.of(dataCentre)));
+        Configuration read = reader.read("test", text).printed().configuration();
+        assertThat(read.evacuatedDataCentres(), equalTo(List.of(dataCentre)));
+    }
+
     @Test
     void printsEqualConfigurationsIdentically() throws Exception {
         String first = writer.print(TestConfigurations.small(7)).text();
--- a/chivecourse-configuration/src/test/java/org/chivecourse/configuration/rule/ConfigurationRulesTest.java
+++ b/chivecourse-configuration/src/test/java/org/chivecourse/configuration/rule/ConfigurationRulesTest.java
@@ -75,10 +75,18 @@
                         JOBS.backendServers(List.of(server.leaving())),
                         "backend-servers",
                         "no active backend server left"),
+                Arguments.of(evacuating("Si A"), "evacuated-data-centres[0]", "lower case"),
+                Arguments.of(evacuating("si-a", "si-a"), "evacuated-data-centres[1]", "named once"),
+                Arguments.of(evacuating("si-z"), "evacuated-data-centres[0]", "check its name"),
+                Arguments.of(evacuating("si-a", "si-b"), "evacuated-data-centres", "service \"jobs\""),
                 Arguments.of(Configuration.revision(1), "services", "at least one service"),
                 Arguments.of(Configuration.revision(0).service(JOBS), "revision", "from 1"));
     }
 
+    private static Configuration evacuating(String... dataCentres) {
+        return TestConfigurations.small(1).evacuatedDataCentres(List.of(dataCentres));
+    }
+
     private static String addressPath() {
         return "backend-servers[2].address";
     }
