--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
@@ -84,9 +84,49 @@
                     names);
         }
         findings.list.addAll(RoutePathRules.INSTANCE.check(configuration.callerRoutes()));
+        checkEvacuations(findings, configuration);
         return findings.list;
     }
 
+    /**
+     * Checks the evacuated data centres. Evacuations that leave a configured service without a backend server are
+     * reported as dangerous, and so is one of a data centre without any, unless backend servers announce themselves.
+     *
+     * @param findings collects the violated rules
+     * @param configuration the configuration
+     */
+    private static void checkEvacuations(Findings findings, Configuration configuration) {
+        List<String> evacuated = configuration.evacuatedDataCentres();
+        Set<String> dataCentres = new HashSet<>();
+        boolean announced = false;
+        for (Service service : configuration.services()) {
+            announced |= service.discovery().announced();
+            service.backendServers().forEach(server -> dataCentres.add(server.dataCentre()));
+        }
+        Set<String> names = new HashSet<>();
+        for (int index = 0; index < evacuated.size(); index++) {
+            String path = "evacuated-data-centres[" + index + "]";
+            String name = evacuated.get(index);
+            boolean valid = NAME_PATTERN.matcher(name).matches();
+            findings.require(valid, path, name, ALLOWED_NAME_FORMAT);
+            findings.require(names.add(name), path, name, "a data centre named once");
+            if (valid && !announced && !dataCentres.contains(name)) {
+                String problem = "data centre \"" + name + "\" has no backend server; check its name";
+                findings.list.add(new Finding(Severity.DANGEROUS, path, problem));
+            }
+        }
+        for (Service service : configuration.services()) {
+            boolean emptied = !service.discovery().announced()
+                    && !service.backendServers().isEmpty()
+                    && service.backendServers().stream().allMatch(server -> names.contains(server.dataCentre()));
+            if (emptied) {
+                String problem = "all backend servers of service \"" + service.name() + "\" are in evacuated data"
+                        + " centres, so that each of its requests would be refused";
+                findings.list.add(new Finding(Severity.DANGEROUS, "evacuated-data-centres", problem));
+            }
+        }
+    }
+
     /**
      * Checks the values of a service and its routes, except for its backend servers.
      *
