Let a service configure how its backend servers warm up

Cause: a cold backend server bears few requests, and a configuration had no way to say how few. Without it nothing changes.

--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/ConfigurationComparison.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/ConfigurationComparison.java
@@ -83,6 +83,7 @@
         addChange(lines, prefix + "limits", old.limits(), next.limits());
         addChange(lines, prefix + "refusal", old.refusal(), next.refusal());
         addChange(lines, prefix + "measuring", old.measuring(), next.measuring());
+        addChange(lines, prefix + "warm-up", old.warmUp(), next.warmUp());
         addChange(lines, prefix + "routes", old.routes(), next.routes());
         Map<String, BackendServer> removedServers = new LinkedHashMap<>();
         old.backendServers().forEach(server -> removedServers.put(server.address(), server));
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationReader.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationReader.java
@@ -20,6 +20,7 @@
 import org.chivecourse.configuration.model.Route;
 import org.chivecourse.configuration.model.ServerMode;
 import org.chivecourse.configuration.model.Service;
+import org.chivecourse.configuration.model.WarmUp;
 import org.chivecourse.configuration.rule.ConfigurationException;
 import org.chivecourse.configuration.rule.ConfigurationRules;
 import org.chivecourse.configuration.rule.Finding;
@@ -100,7 +101,8 @@
                 reader.has("measuring") ? readMeasuringBudget(reader.mapping("measuring")) : MeasuringBudget.NONE,
                 reader.has("routes") ? readRoutes(reader.mappings("routes")) : List.of(),
                 reader.has("backend-servers") ? readServers(reader.mappings("backend-servers")) : List.of(),
-                reader.has("discovery") ? readDiscovery(reader.mapping("discovery")) : Discovery.NONE);
+                reader.has("discovery") ? readDiscovery(reader.mapping("discovery")) : Discovery.NONE,
+                reader.has("warm-up") ? readWarmUp(reader.mapping("warm-up")) : WarmUp.NONE);
         reader.rejectUnknownKeys();
         return service;
     }
@@ -120,6 +122,23 @@
         return discovery;
     }
 
+    /**
+     * Reads the warm-up of the backend servers of a service, whose keys are all required.
+     *
+     * @param reader the reader of the warm-up
+     * @return the warm-up
+     * @throws DocumentException if a key is missing or unknown, or has a value of the wrong type
+     */
+    private static WarmUp readWarmUp(MappingReader reader) throws DocumentException {
+        long milliseconds = reader.integer("milliseconds", 1, MAXIMUM_INTEGER);
+        if (!reader.has("requests-per-second")) {
+            reader.reportInvalidValue("requests-per-second", "a number");
+        }
+        double requestsPerSecond = reader.number("requests-per-second", 0, Double.MAX_VALUE, 0);
+        reader.rejectUnknownKeys();
+        return new WarmUp(Duration.ofMillis(milliseconds), requestsPerSecond);
+    }
+
     /**
      * Reads the limits of a service, which are keys of the service itself.
      *
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/format/ConfigurationWriter.java
@@ -133,6 +133,11 @@
             discovery.put("health-path", service.discovery().healthPath());
             discovery.put("connections", service.discovery().connections());
         }
+        if (service.warmUp().required()) {
+            ObjectNode warmUp = node.putObject("warm-up");
+            warmUp.put("milliseconds", service.warmUp().duration().toMillis());
+            warmUp.put("requests-per-second", service.warmUp().requestsPerSecond());
+        }
     }
 
     /**
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Service.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/model/Service.java
@@ -16,6 +16,7 @@
  * @param routes the routes of its requests, of which the first that covers a request applies
  * @param backendServers the configured backend servers
  * @param discovery how backend servers that are not configured are discovered
+ * @param warmUp how its backend servers warm up
  */
 public record Service(
         String name,
@@ -26,7 +27,8 @@
         MeasuringBudget measuring,
         List<Route> routes,
         List<BackendServer> backendServers,
-        Discovery discovery) {
+        Discovery discovery,
+        WarmUp warmUp) {
 
     /** Creates a service with immutable copies of its lists. */
     public Service {
@@ -51,7 +53,8 @@
                 MeasuringBudget.NONE,
                 List.of(),
                 List.of(),
-                Discovery.NONE);
+                Discovery.NONE,
+                WarmUp.NONE);
     }
 
     /**
@@ -62,7 +65,7 @@
      */
     public Service below(String newPathPrefix) {
         return new Service(
-                name, newPathPrefix, priority, limits, refusal, measuring, routes, backendServers, discovery);
+                name, newPathPrefix, priority, limits, refusal, measuring, routes, backendServers, discovery, warmUp);
     }
 
     /**
@@ -73,7 +76,7 @@
      */
     public Service priority(Priority newPriority) {
         return new Service(
-                name, pathPrefix, newPriority, limits, refusal, measuring, routes, backendServers, discovery);
+                name, pathPrefix, newPriority, limits, refusal, measuring, routes, backendServers, discovery, warmUp);
     }
 
     /**
@@ -84,7 +87,7 @@
      */
     public Service limits(Limits newLimits) {
         return new Service(
-                name, pathPrefix, priority, newLimits, refusal, measuring, routes, backendServers, discovery);
+                name, pathPrefix, priority, newLimits, refusal, measuring, routes, backendServers, discovery, warmUp);
     }
 
     /**
@@ -94,7 +97,8 @@
      * @return the changed service
      */
     public Service refusal(RefusalSignal signal) {
-        return new Service(name, pathPrefix, priority, limits, signal, measuring, routes, backendServers, discovery);
+        return new Service(
+                name, pathPrefix, priority, limits, signal, measuring, routes, backendServers, discovery, warmUp);
     }
 
     /**
@@ -104,7 +108,8 @@
      * @return the changed service
      */
     public Service measuring(MeasuringBudget budget) {
-        return new Service(name, pathPrefix, priority, limits, refusal, budget, routes, backendServers, discovery);
+        return new Service(
+                name, pathPrefix, priority, limits, refusal, budget, routes, backendServers, discovery, warmUp);
     }
 
     /**
@@ -127,7 +132,7 @@
      */
     public Service routes(List<Route> newRoutes) {
         return new Service(
-                name, pathPrefix, priority, limits, refusal, measuring, newRoutes, backendServers, discovery);
+                name, pathPrefix, priority, limits, refusal, measuring, newRoutes, backendServers, discovery, warmUp);
     }
 
     /** Returns a copy of this service with an additional backend server. */
@@ -139,7 +144,7 @@
 
     /** Returns a copy of this service with other backend servers. */
     public Service backendServers(List<BackendServer> servers) {
-        return new Service(name, pathPrefix, priority, limits, refusal, measuring, routes, servers, discovery);
+        return new Service(name, pathPrefix, priority, limits, refusal, measuring, routes, servers, discovery, warmUp);
     }
 
     /**
@@ -150,7 +155,18 @@
      */
     public Service discovery(Discovery newDiscovery) {
         return new Service(
-                name, pathPrefix, priority, limits, refusal, measuring, routes, backendServers, newDiscovery);
+                name, pathPrefix, priority, limits, refusal, measuring, routes, backendServers, newDiscovery, warmUp);
+    }
+
+    /**
+     * Returns a copy of this service with another warm-up.
+     *
+     * @param newWarmUp how its backend servers warm up
+     * @return the changed service
+     */
+    public Service warmUp(WarmUp newWarmUp) {
+        return new Service(
+                name, pathPrefix, priority, limits, refusal, measuring, routes, backendServers, discovery, newWarmUp);
     }
 
     /**
--- a/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
+++ b/chivecourse-configuration/src/main/java/org/chivecourse/configuration/rule/ConfigurationRules.java
@@ -18,6 +18,7 @@
 import org.chivecourse.configuration.model.ServerMode;
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.configuration.model.ServiceShare;
+import org.chivecourse.configuration.model.WarmUp;
 
 /** Checks each value of a configuration, and values that depend on each other. */
 public enum ConfigurationRules {
@@ -36,6 +37,12 @@
     /** The maximum number of probes per second that a service may configure. */
     public static final int MAXIMUM_PROBES_PER_SECOND = 10_000;
 
+    /** The longest warm-up of backend servers, in milliseconds: an hour. */
+    public static final long MAXIMUM_WARM_UP_MILLISECONDS = 3_600_000;
+
+    /** The lowest number of requests a second that a cold backend server may be configured to take. */
+    public static final double MINIMUM_WARM_UP_REQUESTS_PER_SECOND = 0.01;
+
     /** The description of {@link #NAME_PATTERN} for error messages. */
     private static final String ALLOWED_NAME_FORMAT = "1 to 63 lower case letters, digits and hyphens";
 
@@ -103,12 +110,35 @@
         int share = service.measuring().slotSharePermille();
         findings.requireRange(path + ".measuring.slot-share-permille", share, 0, 1000);
         checkRefusal(findings, path + ".refusal", service.refusal());
+        checkWarmUp(findings, path + ".warm-up", service.warmUp());
         for (int index = 0; index < service.routes().size(); index++) {
             String routePath = path + ".routes[" + index + "]";
             checkRoute(findings, routePath, service, service.routes().get(index));
         }
     }
 
+    /**
+     * Checks the warm-up of a service, if it has one.
+     *
+     * @param findings collects the violated rules
+     * @param path the path of the warm-up in the printed configuration
+     * @param warmUp the warm-up
+     */
+    private static void checkWarmUp(Findings findings, String path, WarmUp warmUp) {
+        if (!warmUp.required()) {
+            return;
+        }
+        long milliseconds = warmUp.duration().toMillis();
+        findings.requireRange(path + ".milliseconds", milliseconds, 1, MAXIMUM_WARM_UP_MILLISECONDS);
+        double rate = warmUp.requestsPerSecond();
+        boolean inRange = rate >= MINIMUM_WARM_UP_REQUESTS_PER_SECOND && rate <= MAXIMUM_CAPACITY;
+        findings.require(
+                inRange,
+                path + ".requests-per-second",
+                rate,
+                "a number from " + MINIMUM_WARM_UP_REQUESTS_PER_SECOND + " to " + MAXIMUM_CAPACITY);
+    }
+
     /**
      * Checks the limits of a service.
      *
