Bound what cold backend servers get from all gateways together

Cause: a cold backend server was only estimated to be slower; nothing bounded what the fleet sent to it. Change: ServerWarmUp holds the newest statement (announcement, answers to checks, other gateways, new process) and counts silence as cold. Few gateways of its data centre, elected by rank among all that are remembered, send to it, each at a minimum interval; a gateway that has started or hears from too few sends nothing there. Reports go with digests.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -104,6 +104,7 @@
             return;
         }
         if (!permits.acquire(attempt, now)) {
+            services.warmUps().recordHeldBack(attempt.server(), now);
             withdraw(attempt, Reason.LIMITED, now, sink);
             return;
         }
@@ -118,6 +119,7 @@
     /** Records that a request is about to be written to a connection of a backend server. */
     private void recordDispatch(AttemptState attempt, long now) {
         attempt.server().allowance().recordDispatch();
+        services.warmUps().recordDispatch(attempt.server(), now);
         crashDetector.watch(attempt);
         services.recordDispatch(attempt.server(), now);
         ServiceState service = services.service(attempt.call().terms().service());
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -119,7 +119,7 @@
 
     /**
      * Returns whether a backend server may take a request now: it is in service, not reserved, not full, within its
-     * request limit, not resting, not ejected and not known to be unreachable.
+     * request limit and warm-up, not resting, not ejected and not known to be unreachable.
      */
     private boolean isAvailable(ServerState server, long now) {
         return isAvailableIgnoringEjection(server, now)
@@ -128,13 +128,14 @@
     }
 
     /**
-     * Returns whether a backend server is in service, not reserved, not full, within its request limit and not resting,
-     * even if it is ejected or unreachable.
+     * Returns whether a backend server is in service, not reserved, not full, within its request limit and warm-up and
+     * not resting, even if it is ejected or unreachable.
      */
     private boolean isAvailableIgnoringEjection(ServerState server, long now) {
         return server != reserved
                 && server.leavingCause() == LeavingCause.NONE
                 && server.allowance().permits(now)
+                && server.warmUp().permits(now)
                 && server.rest().permits(server.ownInFlight(), now)
                 && policy.admits(server, candidates);
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -21,6 +21,7 @@
 import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.registry.ServerRegistry;
 import org.chivecourse.coordination.route.RouteTable;
+import org.chivecourse.coordination.warmup.WarmUpRegistry;
 import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.Observation;
@@ -77,6 +78,9 @@
     /** The request limits of the backend servers. */
     private final RequestLimitRegistry limits;
 
+    /** Which backend servers are cold. */
+    private final WarmUpRegistry warmUps;
+
     /** This host's own links to the backend servers. */
     private final ServiceLinks links = new ServiceLinks(this);
 
@@ -91,6 +95,7 @@
         this.forwardingPeers = forwardingPeers;
         this.random = random;
         limits = new RequestLimitRegistry(this, random);
+        warmUps = new WarmUpRegistry(this, settings.fleet().enabled());
         hostCount = settings.expectedHosts();
         routes = new RouteTable(List.of(), random);
     }
@@ -155,6 +160,7 @@
         switch (observation.kind()) {
             case LOAD -> {
                 server.contact().recordAnswerToOthers(observation.observedAt());
+                server.warmUp().recordContact(observation.observedAt());
                 if (!server.hasReport() || observation.observedAt() - server.reportedAt() > 0) {
                     server.recordReport(observation.report(), observation.observedAt());
                     server.condition().recordAlive(observation.observedAt());
@@ -163,7 +169,10 @@
             }
             case HANDED -> server.recordOthersDispatched(observation.requests(), observation.observedAt());
             case FAILURE -> server.condition().recordFailure(now);
-            case UNREACHABLE -> server.condition().markUnreachable(now);
+            case UNREACHABLE -> {
+                server.condition().markUnreachable(now);
+                server.warmUp().recordFailure(observation.observedAt());
+            }
             case UNWELL -> {
                 server.condition().recordHealth(false, now);
                 server.condition().recordAlive(observation.observedAt());
@@ -244,6 +253,7 @@
     public void recordContact(ServerState server, long now) {
         server.condition().recordAlive(now);
         server.contact().recordAnswer(now);
+        server.warmUp().recordContact(now);
     }
 
     /**
@@ -253,6 +263,7 @@
     public void recordUnreachable(ServerState server, long now) {
         server.condition().markUnreachable(now);
         server.contact().recordFailure(now);
+        server.warmUp().recordFailure(now);
     }
 
     /**
@@ -414,6 +425,11 @@
         return limits;
     }
 
+    /** Returns which backend servers are cold. */
+    public WarmUpRegistry warmUps() {
+        return warmUps;
+    }
+
     /** Returns this host's own links to the backend servers. */
     public ServiceLinks links() {
         return links;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -132,6 +132,9 @@
             ServerState state = known.get(server.identity());
             if (state == null) {
                 state = new ServerState(server, now, warm);
+                state.warmUp()
+                        .recordAnnouncement(
+                                0, warm ? 0 : service.warmUp().duration().toNanos(), now);
             } else {
                 state.reconfigure(server);
             }
@@ -141,9 +144,21 @@
             announced.forEach(server -> next.add(announcedServerState(known, server, now)));
         }
         servers = next;
+        servers.forEach(server -> server.warmUp().configure(service.warmUp()));
         reportedTotal.track(servers);
     }
 
+    /**
+     * Returns the time for which an announced backend server stays cold. If its process has changed, it has just
+     * started, also where its announcement does not say so.
+     */
+    private long remainingNanoseconds(Map<String, ServerState> known, RegisteredServer registered) {
+        ServerState earlier = known.get(registered.identity());
+        boolean restarted = earlier != null && registered.incarnation() > earlier.incarnation();
+        long configured = restarted ? service.warmUp().duration().toNanos() : 0;
+        return Math.max(registered.warmUpNanoseconds(), configured);
+    }
+
     /**
      * Returns the state of a backend server that announced itself. A backend server with a new incarnation or address
      * gets a new state, which counts as cold until its warm-up time has passed.
@@ -162,10 +177,10 @@
                 || !state.address().equals(registered.address())) {
             boolean local = registered.dataCentre().equals(settings.dataCentre());
             state = new ServerState(server, registered.incarnation(), local, now, true);
-            state.setColdUntil(now + registered.warmUpNanoseconds());
         } else {
             state.reconfigure(server);
         }
+        state.warmUp().recordAnnouncement(registered.sequence(), remainingNanoseconds(known, registered), now);
         return state;
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/FinishEstimate.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/FinishEstimate.java
@@ -101,7 +101,7 @@
         double slots = server.server().slots();
         double running = inFlight + 1;
         double work = typicalNanoseconds * slowness(server, now) * Math.max(1, condition.responseTimeRatio(now));
-        if (server.cold(now)) {
+        if (server.warmUp().cold(now)) {
             work *= COLD_FACTOR;
         }
         double utilisation = running / slots;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -317,6 +317,9 @@
         REQUEST_SUSPECTED,
 
         /** Whether a request is blocked because it crashes backend servers. */
-        REQUEST_CONVICTED
+        REQUEST_CONVICTED,
+
+        /** Whether a backend server is cold. */
+        SERVER_COLD
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/event/Event.java
@@ -125,6 +125,8 @@
      * @param finding what the probe found about the backend server's health and identity
      * @param limit the request limit that the backend server stated, {@code null} if it made no readable statement
      * @param restNanoseconds the time for which the backend server asked for rest, in nanoseconds, zero for none
+     * @param warmUpNanoseconds the time for which the backend server said that it stays cold, zero if it is warm; no
+     *     value if it made no readable statement
      */
     record ProbeEnded(
             String address,
@@ -133,11 +135,12 @@
             long nanoseconds,
             ProbeFinding finding,
             @JsonInclude(JsonInclude.Include.NON_NULL) RequestLimit limit,
-            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long restNanoseconds)
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long restNanoseconds,
+            @JsonInclude(JsonInclude.Include.NON_NULL) Long warmUpNanoseconds)
             implements Event {
 
         /**
-         * Creates the end of a probe without a statement about a request limit or rest.
+         * Creates the end of a probe without a statement about a request limit, rest or warm-up.
          *
          * @param address the identity of the backend server
          * @param sent whether the probe was sent
@@ -146,7 +149,7 @@
          * @param finding what the probe found about the backend server's health and identity
          */
         public ProbeEnded(String address, boolean sent, LoadReport report, long nanoseconds, ProbeFinding finding) {
-            this(address, sent, report, nanoseconds, finding, null, 0);
+            this(address, sent, report, nanoseconds, finding, null, 0, null);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
@@ -11,6 +11,7 @@
 import org.chivecourse.state.fleet.LimitReport;
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
+import org.chivecourse.state.fleet.WarmUpReport;
 
 /** Composes the digests that this gateway sends to the other gateways of the fleet. */
 final class DigestComposer {
@@ -100,6 +101,7 @@
                 peers.fleetSize(),
                 peers.dataCentreSize(now),
                 content.limitReports(),
+                content.warmUps(),
                 takesCalls && !stopping ? settings.fleet().forwardingAddress() : "");
     }
 
@@ -156,6 +158,7 @@
      * @param crashes requests that were running when a backend server ended, none if suspicions are repeated
      * @param maximumSuspicions the maximum number of known crashes, and of answers to suspected requests, to repeat
      * @param limitReports what this gateway knows of request limits of backend servers
+     * @param warmUps what this gateway knows of the warm-ups of backend servers
      * @param changes published items, {@code null} for none
      */
     record Content(
@@ -165,17 +168,18 @@
             List<Crash> crashes,
             int maximumSuspicions,
             List<LimitReport> limitReports,
+            List<WarmUpReport> warmUps,
             FleetDigest.Changes changes) {
 
         /** The content of a digest that reports only the status of its sender. */
-        static final Content STATUS_ONLY = new Content(false, 0, List.of(), List.of(), 0, List.of(), null);
+        static final Content STATUS_ONLY = new Content(false, 0, List.of(), List.of(), 0, List.of(), List.of(), null);
 
         /** The content of a digest that requests a digest in return. */
-        static final Content REQUEST = new Content(true, 0, List.of(), List.of(), 0, List.of(), null);
+        static final Content REQUEST = new Content(true, 0, List.of(), List.of(), 0, List.of(), List.of(), null);
 
         /** The content of the reply to a request. */
-        static final Content REPLY =
-                new Content(false, MAXIMUM_REPLY_MEMBERS, List.of(), List.of(), FEW_SUSPICIONS, List.of(), null);
+        static final Content REPLY = new Content(
+                false, MAXIMUM_REPLY_MEMBERS, List.of(), List.of(), FEW_SUSPICIONS, List.of(), List.of(), null);
 
         /**
          * Creates the content of a regular digest within a data centre, which names {@link #REGULAR_DIGEST_MEMBERS}
@@ -189,7 +193,14 @@
         static Content local(List<Observation> observations, List<LimitReport> limitReports, boolean repeating) {
             int maximumSuspicions = repeating ? FEW_SUSPICIONS : 0;
             return new Content(
-                    false, REGULAR_DIGEST_MEMBERS, observations, List.of(), maximumSuspicions, limitReports, null);
+                    false,
+                    REGULAR_DIGEST_MEMBERS,
+                    observations,
+                    List.of(),
+                    maximumSuspicions,
+                    limitReports,
+                    List.of(),
+                    null);
         }
 
         /**
@@ -201,7 +212,32 @@
          */
         static Content remote(List<LimitReport> limitReports) {
             return new Content(
-                    false, REGULAR_DIGEST_MEMBERS, List.of(), List.of(), MAXIMUM_SUSPICIONS, limitReports, null);
+                    false,
+                    REGULAR_DIGEST_MEMBERS,
+                    List.of(),
+                    List.of(),
+                    MAXIMUM_SUSPICIONS,
+                    limitReports,
+                    List.of(),
+                    null);
+        }
+
+        /**
+         * Returns the same content with reports of warm-ups.
+         *
+         * @param reports what this gateway knows of the warm-ups of backend servers
+         * @return the content
+         */
+        Content withWarmUps(List<WarmUpReport> reports) {
+            return new Content(
+                    replyRequested,
+                    memberCount,
+                    observations,
+                    crashes,
+                    maximumSuspicions,
+                    limitReports,
+                    reports,
+                    changes);
         }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -10,6 +10,7 @@
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.LimitReport;
 import org.chivecourse.state.fleet.Observation;
+import org.chivecourse.state.fleet.WarmUpReport;
 
 /** Decides when a digest is due and which gateways it is sent to. */
 final class DigestSchedule {
@@ -71,6 +72,9 @@
     /** The request limits of backend servers. */
     private final RequestLimitExchange requestLimits;
 
+    /** The warm-ups of backend servers. */
+    private final WarmUpExchange warmUps;
+
     /** Composes the digests to send. */
     private final Composer composer;
 
@@ -105,6 +109,7 @@
      * @param peers the other gateways of the fleet
      * @param observations the observations and crashes that other gateways have not received yet
      * @param requestLimits the request limits of backend servers
+     * @param warmUps the warm-ups of backend servers
      * @param composer composes the digests to send
      */
     DigestSchedule(
@@ -112,12 +117,14 @@
             FleetPeers peers,
             ObservationOutbox observations,
             RequestLimitExchange requestLimits,
+            WarmUpExchange warmUps,
             Composer composer) {
         this.settings = settings;
         seeds = settings.fleet().seeds();
         this.peers = peers;
         this.observations = observations;
         this.requestLimits = requestLimits;
+        this.warmUps = warmUps;
         this.composer = composer;
     }
 
@@ -226,7 +233,7 @@
      * @param sink receives the resulting decisions
      */
     private void sendLocalDigests(long now, DecisionSink sink) {
-        long interval = observations.hasLocal() || requestLimits.hasChanged(now)
+        long interval = observations.hasLocal() || requestLimits.hasChanged(now) || warmUps.hasLocal()
                 ? peers.localDigestIntervalNanoseconds()
                 : Math.max(IDLE_LOCAL_DIGEST_INTERVAL_NANOSECONDS, peers.localDigestIntervalNanoseconds());
         if (now - lastLocalDigestAt >= interval) {
@@ -252,8 +259,10 @@
             boolean repeating = now - lastRepetitionAt >= SUSPICION_REPETITION_INTERVAL_NANOSECONDS;
             lastRepetitionAt = repeating ? now : lastRepetitionAt;
             List<LimitReport> limitReports = repeating ? requestLimits.next(now) : requestLimits.pollChanged(now);
-            List<Observation> observed = observations.pollLocal(limitReports.size());
-            send(localPeers, composer.compose(Content.local(observed, limitReports, repeating), now), now, sink);
+            List<WarmUpReport> warmUpReports = warmUps.pollLocal(now);
+            List<Observation> observed = observations.pollLocal(limitReports.size() + warmUpReports.size());
+            Content content = Content.local(observed, limitReports, repeating).withWarmUps(warmUpReports);
+            send(localPeers, composer.compose(content, now), now, sink);
         }
     }
 
@@ -296,7 +305,7 @@
     private void sendCrashes(long now, DecisionSink sink) {
         List<Crash> crashes = observations.pollCrashes();
         if (!crashes.isEmpty()) {
-            Content content = new Content(false, 0, List.of(), crashes, 0, List.of(), null);
+            Content content = new Content(false, 0, List.of(), crashes, 0, List.of(), List.of(), null);
             send(peers.live(now), composer.compose(content, now), now, sink);
         }
     }
@@ -322,7 +331,8 @@
         if (due.isEmpty()) {
             return;
         }
-        send(due, composer.compose(Content.remote(requestLimits.next(now)), now), now, sink);
+        Content content = Content.remote(requestLimits.next(now)).withWarmUps(warmUps.pollRemote(now));
+        send(due, composer.compose(content, now), now, sink);
     }
 
     /**
@@ -336,16 +346,15 @@
         lastRelayAt = now;
         if (!RelayElection.INSTANCE.isRelay(peers, now)) {
             observations.discardRemote();
+            warmUps.discardRemote();
             return;
         }
         List<Observation> observed = observations.pollRemote();
         List<FleetPeer> recipients = RelayElection.INSTANCE.recipients(peers, now);
-        if (!observed.isEmpty() && !recipients.isEmpty()) {
-            send(
-                    recipients,
-                    composer.compose(new Content(false, 0, observed, List.of(), 0, List.of(), null), now),
-                    now,
-                    sink);
+        boolean pending = !observed.isEmpty() || warmUps.hasRemote();
+        if (pending && !recipients.isEmpty()) {
+            Content content = new Content(false, 0, observed, List.of(), 0, List.of(), warmUps.pollRemote(now), null);
+            send(recipients, composer.compose(content, now), now, sink);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -63,6 +63,9 @@
     /** The request limits of backend servers. */
     private final RequestLimitExchange requestLimits;
 
+    /** The warm-ups of backend servers. */
+    private final WarmUpExchange warmUps;
+
     /** Composes the digests of this gateway. */
     private final DigestComposer composer;
 
@@ -113,9 +116,11 @@
         peers = new FleetPeers(new Member(settings.name(), settings.fleet().address(), settings.dataCentre()));
         publisherReads = new PublisherReads(peers, publishedState);
         requestLimits = new RequestLimitExchange(peers, services);
+        warmUps = new WarmUpExchange(peers, services, this::hasOtherSeeds);
         composer = new DigestComposer(settings, peers, poisonRequests);
         spread = new PublicationSpread(peers, publishedState, this::composeDigest);
-        schedule = new DigestSchedule(settings, peers, services.observations(), requestLimits, this::composeDigest);
+        schedule = new DigestSchedule(
+                settings, peers, services.observations(), requestLimits, warmUps, this::composeDigest);
     }
 
     /**
@@ -156,6 +161,7 @@
             peers.removeSilent(now);
         }
         requestLimits.assignSenders(now);
+        warmUps.assignSenders(now);
         if (forwardingPeers.update(peers.live(now), now)) {
             sink.decide(new Decision.UseServers(services.backendServers()));
         }
@@ -207,7 +213,8 @@
             return;
         }
         if (digest.replyRequested()) {
-            DigestSchedule.send(List.of(sender), composeDigest(Content.REPLY, now), now, sink);
+            Content reply = Content.REPLY.withWarmUps(warmUps.repeat(now));
+            DigestSchedule.send(List.of(sender), composeDigest(reply, now), now, sink);
         }
         publisherReads.recordReport(digest.publisherStatus(), now);
         boolean local = peers.isLocal(sender);
@@ -221,6 +228,7 @@
             }
         }
         requestLimits.apply(digest, now, sink);
+        warmUps.apply(digest, local);
         for (AnsweredRequest answered : digest.answeredRequests()) {
             if (poisonRequests.recordAnswer(answered.fingerprint(), answered.answeredAt(), now)) {
                 String cause = "answer known from " + sender.member().name();
@@ -413,6 +421,11 @@
         return spread.outdated(now);
     }
 
+    /** Returns whether this gateway knows a seed that is not itself. */
+    private boolean hasOtherSeeds() {
+        return schedule.hasOtherSeeds();
+    }
+
     /** Returns the other gateways of the fleet. */
     public FleetPeers peers() {
         return peers;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
@@ -204,7 +204,7 @@
 
     /** Sends a digest with the status of this gateway and changes, {@code null} for none. */
     private void send(List<FleetPeer> recipients, FleetDigest.Changes changes, long now, DecisionSink sink) {
-        Content content = new Content(false, 0, List.of(), List.of(), 0, List.of(), changes);
+        Content content = new Content(false, 0, List.of(), List.of(), 0, List.of(), List.of(), changes);
         DigestSchedule.send(recipients, composer.compose(content, now), now, sink);
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/RendezvousHash.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/RendezvousHash.java
@@ -6,6 +6,9 @@
  */
 public final class RendezvousHash {
 
+    /** The number of ranks. */
+    private static final double RANKS = 4_294_967_296.0;
+
     /** This class has only static methods. */
     private RendezvousHash() {}
 
@@ -23,6 +26,17 @@
         return rank > otherRank || rank == otherRank && name.compareTo(other) > 0;
     }
 
+    /**
+     * Returns the rank of a name for a backend server as a share of all ranks.
+     *
+     * @param name the name of a gateway or data centre
+     * @param identity the identity of the backend server
+     * @return a number from zero to one
+     */
+    public static double share(String name, String identity) {
+        return Integer.toUnsignedLong(rank(name, identity)) / RANKS;
+    }
+
     /** Returns a hash of both texts. The multipliers are mixing constants that spread similar names. */
     private static int rank(String name, String identity) {
         int hash = (name.hashCode() * 31 + identity.hashCode()) * 0x9e3779b1;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/HostCore.java
@@ -171,6 +171,7 @@
     private void handleTimePassed(long now, DecisionSink sink) {
         calls.advanceTime(now, sink);
         services.links().update(now, sink);
+        services.warmUps().scan(now, sink);
         serverMonitor.handleTimePassed(now, sink);
         if (settings.fleet().enabled()) {
             fleetExchange.runDueTasks(now, sink);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
@@ -129,6 +129,8 @@
             service.probeBudget().recordEnd(now, ended.nanoseconds());
         }
         if (ended.report() != null) {
+            services.server(ended.address()).warmUp().recordContact(now);
+            services.warmUps().recordStatement(services.server(ended.address()), ended.warmUpNanoseconds(), now);
             services.server(ended.address()).recordReport(ended.report(), now);
         }
     }
@@ -154,6 +156,9 @@
         if (statesLimit && ended.finding() != ProbeFinding.OTHER_SERVER) {
             services.limits().record(server, ended.limit(), now, "probe", now, sink);
         }
+        if (ended.finding() != ProbeFinding.OTHER_SERVER) {
+            services.warmUps().recordStatement(server, ended.warmUpNanoseconds(), now);
+        }
         if (ended.report() != null && ended.finding() != ProbeFinding.OTHER_SERVER) {
             services.recordLoad(server, ended.report(), now);
             server.condition().markReachable();
@@ -177,6 +182,9 @@
         }
         if (checked.answer() != HealthCheckResult.UNREACHABLE) {
             server.condition().recordAlive(now);
+            server.warmUp().recordContact(now);
+        } else {
+            server.warmUp().recordFailure(now);
         }
         long revision = services.configuration().revision();
         switch (healthChecks.recordResult(server, checked.answer(), now)) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/ExpectedWait.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/ExpectedWait.java
@@ -54,7 +54,10 @@
             if (server.takesRequests(now) && server.averageServiceNanoseconds() > 0) {
                 double ofServer = server.server().slots() / server.averageServiceNanoseconds();
                 double permitted = hostCount * server.allowance().ownRequestsPerNanosecond();
-                perNanosecond += server.allowance().limited(now) ? Math.min(ofServer, permitted) : ofServer;
+                double ofCold = hostCount * server.warmUp().ownRequestsPerNanosecond();
+                perNanosecond += Math.min(
+                        server.warmUp().limited(now) ? ofCold : ofServer,
+                        server.allowance().limited(now) ? Math.min(ofServer, permitted) : ofServer);
             }
         }
         return perNanosecond == 0 ? 0 : (long) (ahead * hostCount / perNanosecond);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/LimitedCapacity.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/limit/LimitedCapacity.java
@@ -3,11 +3,12 @@
 import java.util.List;
 import org.chivecourse.state.server.RequestAllowance;
 import org.chivecourse.state.server.ServerState;
+import org.chivecourse.state.server.ServerWarmUp;
 
 /**
- * How many requests the backend servers of a service take that have a request limit.
+ * How many requests the backend servers of a service take that are cold or have a request limit.
  *
- * @param everyServerLimited whether each backend server in service has a limit, and there is at least one
+ * @param everyServerLimited whether each backend server in service has a limit or is cold, and there is at least one
  * @param ownRequestsPerNanosecond the rate at which this host may send to them if all others that may send do so
  * @param requestsPerNanosecond the rate at which all hosts together may send to them
  * @param nanosecondsUntilPermit the time until this host may send the next request, {@link #NEVER} if it may not
@@ -34,7 +35,13 @@
             }
             inService++;
             RequestAllowance allowance = server.allowance();
-            if (allowance.limited(now)) {
+            ServerWarmUp warmUp = server.warmUp();
+            if (warmUp.limited(now)) {
+                limited++;
+                own += warmUp.ownRequestsPerNanosecond();
+                all += warmUp.requestsPerNanosecond();
+                untilPermit = Math.min(untilPermit, warmUp.nanosecondsUntilPermit(now));
+            } else if (allowance.limited(now)) {
                 limited++;
                 own += allowance.ownRequestsPerNanosecond();
                 all += allowance.requestsPerNanosecond();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/poison/Quarantine.java
@@ -106,6 +106,7 @@
     private static boolean usable(ServerState server, long now) {
         return server.leavingCause() == LeavingCause.NONE
                 && server.allowance().permits(now)
+                && server.warmUp().permits(now)
                 && server.rest().permits(server.ownInFlight(), now)
                 && !server.ejected(now)
                 && !server.condition().isUnreachable(now);
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderDialect.java
@@ -92,6 +92,14 @@
      */
     RequestLimit requestLimit(HttpHeaders headers);
 
+    /**
+     * Reads for how long the backend server that sent the answer to a check says that it stays cold.
+     *
+     * @param headers the header fields of the answer
+     * @return the time in nanoseconds, zero if it is warm, {@code null} if the answer has no readable statement
+     */
+    Long warmUpNanoseconds(HttpHeaders headers);
+
     /**
      * Reads the identity of the backend server that sent an answer.
      *
@@ -203,6 +211,11 @@
             return null;
         }
 
+        @Override
+        public Long warmUpNanoseconds(HttpHeaders headers) {
+            return WarmUpField.parse(headers.get(HeaderNames.WARM_UP));
+        }
+
         @Override
         public String serverIdentity(HttpHeaders headers) {
             return null;
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderNames.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/http/HeaderNames.java
@@ -27,6 +27,9 @@
     /** Present on the answers of a backend server that is leaving. */
     public static final String SERVER_LEAVING = "Server-Leaving";
 
+    /** The time for which the backend server that answers a check stays cold, in milliseconds. */
+    public static final String WARM_UP = "Warm-Up-Milliseconds";
+
     /** The time after which the caller may retry a request, in seconds. */
     public static final String RETRY_AFTER = "Retry-After";
 
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -12,6 +12,7 @@
 import org.chivecourse.protocol.peer.generated.MemberMessage;
 import org.chivecourse.protocol.peer.generated.RequestLimitMessage;
 import org.chivecourse.protocol.peer.generated.SightingMessage;
+import org.chivecourse.protocol.peer.generated.WarmUpMessage;
 import org.chivecourse.state.fleet.AnsweredRequest;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.FleetDigest;
@@ -19,6 +20,7 @@
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
+import org.chivecourse.state.fleet.WarmUpReport;
 import org.chivecourse.state.publication.PublicationRevision;
 import org.chivecourse.state.server.LoadReport;
 import org.chivecourse.state.server.RequestLimit;
@@ -102,6 +104,7 @@
                         .setFingerprint(fingerprint)
                         .setSeconds(seconds)));
         digest.limitReports().forEach(report -> message.addRequestLimits(encode(report, now)));
+        digest.warmUps().forEach(report -> message.addWarmUps(WarmUpCodec.encode(report, now)));
         if (digest.changes() != null && digest.changes().differences().isEmpty()) {
             message.setChanges(PublicationCodec.encode(digest.changes()));
         } else if (digest.changes() != null) {
@@ -180,7 +183,7 @@
      * @param now the current time in nanoseconds
      * @return the age in milliseconds, zero for a time in the future
      */
-    private static int ageMilliseconds(long time, long now) {
+    static int ageMilliseconds(long time, long now) {
         return (int) Math.max(0, (now - time) / NANOSECONDS_PER_MILLISECOND);
     }
 
@@ -192,7 +195,7 @@
      * @return the time in nanoseconds
      * @throws PeerMessageException if the event is older than suspicions last
      */
-    private static long timeOf(int ageMilliseconds, long now) throws PeerMessageException {
+    static long timeOf(int ageMilliseconds, long now) throws PeerMessageException {
         if (ageMilliseconds < 0 || ageMilliseconds > MAXIMUM_SUSPICION_AGE_MILLISECONDS) {
             throw new PeerMessageException("a crash or answer has the age " + ageMilliseconds + " ms");
         }
@@ -237,6 +240,10 @@
         for (RequestLimitMessage limit : message.getRequestLimitsList()) {
             limitReports.add(decode(limit, now));
         }
+        List<WarmUpReport> warmUps = new ArrayList<>();
+        for (WarmUpMessage warmUp : message.getWarmUpsList()) {
+            warmUps.add(WarmUpCodec.decode(warmUp, now));
+        }
         Map<Long, Integer> blockedRequests = new HashMap<>();
         message.getConvictionsList()
                 .forEach(blocked -> blockedRequests.put(blocked.getFingerprint(), blocked.getSeconds()));
@@ -261,6 +268,7 @@
                 message.getFleetSize(),
                 message.getDataCentreSize(),
                 limitReports,
+                warmUps,
                 decodeForwardingAddress(message));
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/state/call/AttemptState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/call/AttemptState.java
@@ -32,6 +32,9 @@
     /** Whether the attempt holds a permit of a backend server with a request limit. */
     private boolean holdsPermit;
 
+    /** Whether it holds a permit of a cold backend server. */
+    private boolean holdsWarmUpPermit;
+
     /** Whether this host decided not to send the request, although the backend server could be reached. */
     private boolean withdrawn;
 
@@ -109,6 +112,9 @@
         if (holdsPermit && sentAt == 0) {
             server.allowance().giveBack();
         }
+        if (holdsWarmUpPermit && sentAt == 0) {
+            server.warmUp().giveBack();
+        }
         return true;
     }
 
@@ -157,6 +163,16 @@
         return holdsPermit;
     }
 
+    /** Records that the attempt holds a permit of a cold backend server. */
+    public void recordWarmUpPermit() {
+        holdsWarmUpPermit = true;
+    }
+
+    /** Returns whether the attempt holds a permit of a cold backend server. */
+    public boolean holdsWarmUpPermit() {
+        return holdsWarmUpPermit;
+    }
+
     /** Returns whether the attempt has ended, so that further events of its connection are ignored. */
     public boolean ended() {
         return ended;
--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -26,6 +26,7 @@
  * @param fleetSize the number of gateways of the fleet as recorded by the sender, including itself
  * @param dataCentreSize the number of live gateways in the sender's data centre, including itself
  * @param limitReports what the sender knows of request limits of backend servers
+ * @param warmUps what the sender knows of the warm-ups of backend servers
  * @param forwardingAddress the address at which the sender takes calls of other gateways, empty if it takes none now
  */
 public record FleetDigest(
@@ -44,6 +45,7 @@
         int fleetSize,
         int dataCentreSize,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<LimitReport> limitReports,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<WarmUpReport> warmUps,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) String forwardingAddress) {
 
     /** Creates a digest with copies of the collections. */
@@ -55,6 +57,7 @@
         blockedRequests = Map.copyOf(blockedRequests);
         forwardingAddress = forwardingAddress == null ? "" : forwardingAddress;
         limitReports = limitReports == null ? List.of() : List.copyOf(limitReports);
+        warmUps = warmUps == null ? List.of() : List.copyOf(warmUps);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -33,9 +33,6 @@
     /** Whether it is in the data centre of this host. */
     private final boolean local;
 
-    /** The time until which it is slow after its start, as it announced. */
-    private long coldUntil;
-
     /** Its recent failures, slowness, reachability, health and response times. */
     private final ServerCondition condition = new ServerCondition();
 
@@ -63,6 +60,9 @@
     /** Its request limit. */
     private final RequestAllowance allowance = new RequestAllowance();
 
+    /** How long it is cold. */
+    private final ServerWarmUp warmUp;
+
     /** The rest that it asked this host for. */
     private final ServerRest rest = new ServerRest();
 
@@ -120,7 +120,7 @@
         this.incarnation = incarnation;
         this.local = local;
         discoveredAt = now;
-        coldUntil = now;
+        warmUp = new ServerWarmUp(now);
         warmUpStartedAt = warm ? now - WARM_UP_NANOSECONDS : now;
         concurrencyLimit = server.slots();
         leavingCause = LeavingCause.NONE;
@@ -299,23 +299,9 @@
         return server;
     }
 
-    /**
-     * Sets the time until which the backend server is slow after its start.
-     *
-     * @param until the time
-     */
-    public void setColdUntil(long until) {
-        coldUntil = until;
-    }
-
-    /**
-     * Returns whether the backend server is slow because it has just started.
-     *
-     * @param now the current time
-     * @return {@code true} within the warm-up time that it announced
-     */
-    public boolean cold(long now) {
-        return now - coldUntil < 0;
+    /** Returns how long it is cold. */
+    public ServerWarmUp warmUp() {
+        return warmUp;
     }
 
     /** Returns the incarnation of its process, zero if it comes from the configuration. */
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
@@ -206,7 +206,8 @@
                 elapsedNanoseconds,
                 finding,
                 dialect.requestLimit(headers),
-                RetryAfterField.restNanoseconds(response.status().code(), headers)));
+                RetryAfterField.restNanoseconds(response.status().code(), headers),
+                dialect.warmUpNanoseconds(headers)));
     }
 
     /** Returns what the answer to a probe states besides the load. */
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -356,11 +356,18 @@
             SimulatedBackendServer server = servers.get(probe.address());
             server.probes++;
             server.countInRests(host, milliseconds());
-            network.scheduleEvent(
-                    host,
-                    new Event.ProbeEnded(
-                            probe.address(), true, server.report(), 0, ProbeFinding.SERVING, server.limit, 0),
-                    2);
+            Event ended = server.down
+                    ? new Event.ProbeEnded(probe.address(), false, null, 0, ProbeFinding.UNREACHABLE)
+                    : new Event.ProbeEnded(
+                            probe.address(),
+                            true,
+                            server.report(),
+                            0,
+                            ProbeFinding.SERVING,
+                            server.limit,
+                            0,
+                            server.warmUpNanoseconds(now()));
+            network.scheduleEvent(host, ended, 2);
         }
     }
 
@@ -402,6 +409,10 @@
             network.scheduleEvent(host, new Event.AttemptReady(send.attempt()), 1);
             return;
         }
+        if (servers.get(send.address()).down) {
+            network.scheduleEvent(host, new Event.AttemptUnsent(send.attempt(), "refused"), 1);
+            return;
+        }
         LinkLoss loss = lostLinks.get(host);
         boolean open = random.nextDouble() < OPEN_CONNECTION_SHARE;
         if (loss == null || open && loss.keepsOpenConnections()) {
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/OutdatedConfigurationTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/OutdatedConfigurationTest.java
@@ -47,6 +47,7 @@
                         latest.fleetSize(),
                         latest.dataCentreSize(),
                         latest.limitReports(),
+                        latest.warmUps(),
                         latest.forwardingAddress())));
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/PublicationSpreadTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/PublicationSpreadTest.java
@@ -69,6 +69,7 @@
                 2,
                 2,
                 List.of(),
+                List.of(),
                 "");
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedBackendServer.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedBackendServer.java
@@ -21,6 +21,8 @@
     /** The number of requests that a backend server may get beyond that, as the platform states. */
     private static final int ALLOWED_EXTRA = 5;
 
+    private static final long SECOND_MILLISECONDS = 1000;
+
     final List<Request> received = new ArrayList<>();
 
     final Map<String, Long> toldAt = new HashMap<>();
@@ -46,6 +48,18 @@
 
     long limitedSince;
 
+    /** The time from which this server is cold. */
+    long coldFrom = Long.MIN_VALUE / 2;
+
+    /** The time until which this server is cold. */
+    long coldUntil = Long.MIN_VALUE / 2;
+
+    /** Whether this server cannot be reached. */
+    boolean down;
+
+    /** The largest number of requests within a second that this server got while it was cold. */
+    int largestWhileCold;
+
     int running;
 
     int probes;
@@ -59,6 +73,7 @@
 
     void receive(Request request) {
         received.add(request);
+        countWhileCold(request.at);
         if (limit.unlimited() || !request.counted) {
             return;
         }
@@ -74,6 +89,20 @@
         largestExcess = Math.max(largestExcess, count - allowed);
     }
 
+    /** Returns the time for which this server says that it stays cold. */
+    long warmUpNanoseconds(long at) {
+        return Math.max(0, coldUntil - at) * FleetNetwork.NANOSECONDS_PER_MILLISECOND;
+    }
+
+    private void countWhileCold(long at) {
+        long since = Math.max(coldFrom, at - SECOND_MILLISECONDS + 1);
+        int count = 0;
+        for (int index = received.size() - 1; index >= 0 && received.get(index).at >= since; index--) {
+            count++;
+        }
+        largestWhileCold = at < coldUntil ? Math.max(largestWhileCold, count) : largestWhileCold;
+    }
+
     /** Records that a gateway receives an answer, which may say that this server leaves. */
     void recordStatement(String host, long at) {
         if (leaving) {
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedRoutes.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedRoutes.java
@@ -8,6 +8,7 @@
 import org.chivecourse.configuration.model.Discovery;
 import org.chivecourse.configuration.model.Idempotency;
 import org.chivecourse.configuration.model.Service;
+import org.chivecourse.configuration.model.WarmUp;
 import org.chivecourse.state.publication.PublishedItem;
 
 /** The configuration of simulations: one service with a route for lookups and one for orders. */
@@ -16,8 +17,13 @@
     private SimulatedRoutes() {}
 
     static PublishedItem configuration(long timeoutMilliseconds) {
-        Configuration configuration = Configuration.revision(2)
-                .service(Service.named("jobs").discovery(Discovery.DEFAULT))
+        return configuration(2, timeoutMilliseconds, WarmUp.NONE);
+    }
+
+    /** Returns a configuration whose backend servers warm up. */
+    static PublishedItem configuration(long revision, long timeoutMilliseconds, WarmUp warmUp) {
+        Configuration configuration = Configuration.revision(revision)
+                .service(Service.named("jobs").discovery(Discovery.DEFAULT).warmUp(warmUp))
                 .callerRoute(CallerRoute.of("lookups", "jobs.example", "/lookups/", "jobs")
                         .idempotency(Idempotency.IDEMPOTENT)
                         .attempts(2)
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedStatements.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedStatements.java
@@ -68,6 +68,28 @@
                 .sum();
     }
 
+    /** Lets a backend server go down, or come back cold for a time. */
+    void setDown(String identity, boolean down, long now, long coldMilliseconds) {
+        servers.get(identity).down = down;
+        if (!down) {
+            turnCold(identity, now, coldMilliseconds);
+        }
+    }
+
+    /** Lets a backend server be cold for a time. */
+    void turnCold(String identity, long now, long milliseconds) {
+        servers.get(identity).coldFrom = now;
+        servers.get(identity).coldUntil = now + milliseconds;
+    }
+
+    /** Returns the largest number of requests within a second that a backend server got while it was cold. */
+    int largestWhileCold() {
+        return servers.values().stream()
+                .mapToInt(server -> server.largestWhileCold)
+                .max()
+                .orElse(0);
+    }
+
     /** Returns the number of gateways that have forwarded the word of a backend server that it leaves. */
     int countToldOfLeaving(String identity) {
         return servers.get(identity).toldLeavingAt.size();
--- a/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
@@ -20,6 +20,7 @@
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
+import org.chivecourse.state.fleet.WarmUpReport;
 import org.chivecourse.state.publication.PublicationRevision;
 import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.LoadReport;
@@ -75,6 +76,13 @@
                     NOW_NANOSECONDS - 300 * number * NANOSECONDS_PER_MILLISECOND,
                     1000 * number));
         }
+        List<WarmUpReport> warmUps = limitReports.stream()
+                .map(report -> new WarmUpReport(
+                        report.server(),
+                        report.incarnation(),
+                        report.dispatched() * NANOSECONDS_PER_MILLISECOND,
+                        report.statedAt()))
+                .toList();
         return new FleetDigest(
                 SENDER,
                 Long.MAX_VALUE,
@@ -91,6 +99,7 @@
                 140,
                 42,
                 limitReports,
+                warmUps,
                 "10.128.200.1:17168");
     }
 
@@ -220,6 +229,7 @@
                 1,
                 1,
                 List.of(),
+                List.of(),
                 forwardingAddress);
     }
 }
