--- a/chivecourse-command-line/src/main/java/org/chivecourse/command/StatusTable.java
+++ b/chivecourse-command-line/src/main/java/org/chivecourse/command/StatusTable.java
@@ -86,16 +86,29 @@
                 "backend server", "leaving", "ejected", "in flight", "sent", "failed"));
         for (JsonNode server : service.path("backend-servers")) {
             text.append(String.format(
-                    "    %-24s %-10s %-8s %9d %9d %9d%n",
+                    "    %-24s %-10s %-8s %9d %9d %9d%s%n",
                     server.path("address").asText(),
                     server.path("leaving").asText(),
                     server.path("ejected").asText(),
                     server.path("in-flight").asInt(),
                     server.path("sent").asLong(),
-                    server.path("failed").asLong()));
+                    server.path("failed").asLong(),
+                    formatCold(server.path("cold-milliseconds"))));
         }
     }
 
+    /**
+     * Formats how long a backend server is cold for the end of its line.
+     *
+     * @param milliseconds the time, negative if it is cold until it is heard, missing if it is warm
+     */
+    private static String formatCold(JsonNode milliseconds) {
+        if (milliseconds.isMissingNode()) {
+            return "";
+        }
+        return milliseconds.asLong() < 0 ? "  cold until heard" : "  cold for " + milliseconds.asLong() + " ms";
+    }
+
     /**
      * Adds a warning if it is not empty.
      *
--- a/chivecourse-configuration/src/test/java/org/chivecourse/configuration/format/ConfigurationWriterTest.java
+++ b/chivecourse-configuration/src/test/java/org/chivecourse/configuration/format/ConfigurationWriterTest.java
@@ -7,10 +7,15 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import org.chivecourse.configuration.TestConfigurations;
 import org.chivecourse.configuration.model.Configuration;
+import org.chivecourse.configuration.model.Service;
+import org.chivecourse.configuration.model.WarmUp;
 import org.chivecourse.configuration.rule.ConfigurationException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against printed configurations that cannot be read back, vary between runs or reuse a revision. */
 class ConfigurationWriterTest {
@@ -28,6 +33,33 @@
         assertThat(reader.read("test", printed.text()).printed(), equalTo(printed));
     }
 
+    @Test
+    void readsPrintedWarmUpBack() throws Exception {
+        Configuration configuration = warmingUp(new WarmUp(Duration.ofMillis(2500), 1.9));
+        String text = writer.print(configuration).text();
+        assertThat(reader.read("test", text).printed().configuration(), equalTo(configuration));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "milliseconds: 2500,milliseconds: 0",
+        "requests-per-second: 1.9,requests-per-second: few",
+        "requests-per-second: 1.9,requests-a-second: 1.9",
+        "requests-per-second: 1.9,requests-per-second: -1"
+    })
+    void rejectsUnreadableWarmUp(String original, String replacement) {
+        Configuration configuration = warmingUp(new WarmUp(Duration.ofMillis(2500), 1.9));
+        String text = writer.printUnchecked(configuration).replace(original, replacement);
+        Exception thrown = assertThrows(Exception.class, () -> reader.read("file.yaml", text));
+        assertThat(thrown.getMessage(), containsString("services[0].warm-up."));
+    }
+
+    private static Configuration warmingUp(WarmUp warmUp) {
+        Configuration small = TestConfigurations.small(7);
+        Service service = small.services().get(0).warmUp(warmUp);
+        return Configuration.revision(7).service(service);
+    }
+
     @Test
     void printsEqualConfigurationsIdentically() throws Exception {
         String first = writer.print(TestConfigurations.small(7)).text();
--- a/chivecourse-configuration/src/test/java/org/chivecourse/configuration/rule/ConfigurationRulesTest.java
+++ b/chivecourse-configuration/src/test/java/org/chivecourse/configuration/rule/ConfigurationRulesTest.java
@@ -18,6 +18,7 @@
 import org.chivecourse.configuration.model.RefusalSignal;
 import org.chivecourse.configuration.model.Route;
 import org.chivecourse.configuration.model.Service;
+import org.chivecourse.configuration.model.WarmUp;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -67,6 +68,13 @@
                 invalidService(JOBS.measuring(new MeasuringBudget(-1, 0)), "measuring.probes-per-second", "0 to 10000"),
                 invalidService(
                         JOBS.measuring(new MeasuringBudget(0, 1001)), "measuring.slot-share-permille", "0 to 1000"),
+                invalidService(JOBS.warmUp(new WarmUp(Duration.ZERO, 2)), "warm-up.milliseconds", "1 to 3600000"),
+                invalidService(
+                        JOBS.warmUp(new WarmUp(Duration.ofSeconds(3), -1)), "warm-up.requests-per-second", "0.01 to"),
+                invalidService(
+                        JOBS.warmUp(new WarmUp(Duration.ofSeconds(3), Double.NaN)),
+                        "warm-up.requests-per-second",
+                        "0.01 to"),
                 invalidService(JOBS.refusal(new RefusalSignal(200, "Refused", "yes")), "refusal.status", "400 to 599"),
                 invalidService(
                         JOBS.refusal(new RefusalSignal(503, "Bad name", "yes")), "refusal.header", "header field"),
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/warmup/SenderElection.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/warmup/SenderElection.java
@@ -36,6 +36,9 @@
     /** The time without a digest after which a gateway is forgotten. */
     private static final long MEMORY_NANOSECONDS = 120_000_000_000L;
 
+    /** The time for which a size of the data centre that others report holds. */
+    private static final long REPORT_NANOSECONDS = 10_000_000_000L;
+
     /** The lowest number of senders, so that a backend server gets some requests after one of them ended. */
     private static final int MINIMUM_SENDERS = 2;
 
@@ -72,7 +75,7 @@
     public void recordDigest(String gateway, int dataCentreSize, long at) {
         seenAt.merge(gateway, at, Math::max);
         heardAt.merge(gateway, at, Math::max);
-        if (dataCentreSize >= reportedSize || at - reportedSizeAt > MEMORY_NANOSECONDS) {
+        if (dataCentreSize >= reportedSize || at - reportedSizeAt > REPORT_NANOSECONDS) {
             reportedSize = dataCentreSize;
             reportedSizeAt = at;
         }
@@ -85,9 +88,8 @@
 
     /** Records that a gateway stops, so that it does not count any more. */
     public void recordStopping(String gateway) {
-        boolean known = seenAt.remove(gateway) != null;
+        seenAt.remove(gateway);
         heardAt.remove(gateway);
-        reportedSize -= known ? 1 : 0;
     }
 
     /** Forgets the gateways that have been silent for long. */
@@ -101,7 +103,7 @@
         long heard = heardAt.values().stream()
                 .filter(at -> now - at < HEARD_NANOSECONDS)
                 .count();
-        int known = Math.max(seenAt.size() + 1, now - reportedSizeAt > MEMORY_NANOSECONDS ? 0 : reportedSize);
+        int known = Math.max(seenAt.size() + 1, now - reportedSizeAt > REPORT_NANOSECONDS ? 0 : reportedSize);
         return now - startedAt >= SETTLING_NANOSECONDS && 2 * (heard + 1) > known;
     }
 
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -26,6 +26,7 @@
 import org.chivecourse.gateway.audit.AuditTrail;
 import org.chivecourse.gateway.environment.GatewayEnvironment;
 import org.chivecourse.gateway.environment.PublicationReader;
+import org.chivecourse.gateway.operator.CoreMetrics;
 import org.chivecourse.gateway.operator.MemoryMetrics;
 import org.chivecourse.gateway.operator.MetricsPrinter;
 import org.chivecourse.gateway.operator.OperatorListener;
@@ -180,8 +181,7 @@
         requestListeners = new RequestListeners(settings, callerTls, driver, exchanges, loopResources);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::openExchanges);
         metrics.register("calls.held-bytes", (Gauge<Long>) memory::heldBytes);
-        metrics.register("publication.epoch-changes", (Gauge<Integer>)
-                () -> driver.read(core -> core.publishedState().epochChanges()));
+        CoreMetrics.register(metrics, driver);
         MemoryMetrics.register(metrics);
         operatorListener = new OperatorListener(
                 SettingsTranslation.listenAddress(settings.operators().address()),
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
@@ -14,6 +14,7 @@
 import org.chivecourse.state.peer.PeerState;
 import org.chivecourse.state.publication.PublicationRevision;
 import org.chivecourse.state.server.ServerState;
+import org.chivecourse.state.server.ServerWarmUp;
 
 /** Builds the status document of a gateway. */
 public final class StatusPrinter {
@@ -24,6 +25,9 @@
     /** The number of nanoseconds in a millisecond. */
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
 
+    /** The remaining time of a backend server that is cold until it is heard, in milliseconds. */
+    private static final long UNTIL_HEARD = -1;
+
     /** Creates the nodes of the document. */
     private final ObjectMapper mapper = new ObjectMapper();
 
@@ -132,6 +136,12 @@
             entry.put("address", server.address());
             entry.put("leaving", ConstantNames.of(server.leavingCause()));
             entry.put("ejected", server.ejected(now));
+            if (server.warmUp().cold(now)) {
+                long remaining = server.warmUp().remainingNanoseconds(now);
+                entry.put(
+                        "cold-milliseconds",
+                        remaining == ServerWarmUp.NEVER ? UNTIL_HEARD : remaining / NANOSECONDS_PER_MILLISECOND);
+            }
             entry.put("in-flight", server.ownInFlight());
             entry.put("sent", server.requestsSent());
             entry.put("failed", server.requestsFailed());
