--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -236,11 +236,12 @@
     private void recordGoodAnswer(AttemptState attempt, long now, DecisionSink sink) {
         long fingerprint = attempt.call().terms().fingerprint();
         if (poisonRequests.recordAnswer(fingerprint, now, now)) {
-            services.auditSuspicion(
-                    CrashFinding.CLEARED,
-                    fingerprint,
-                    "answer of " + attempt.server().identity(),
-                    sink);
+            services.crashAudit()
+                    .suspicion(
+                            CrashFinding.CLEARED,
+                            fingerprint,
+                            "answer of " + attempt.server().identity(),
+                            sink);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -207,7 +207,7 @@
             services.recordCrash(crash);
         }
         CallTerms terms = candidate.attempt.call().terms();
-        services.auditCrash(finding, crash, terms, sink);
+        services.crashAudit().crash(finding, crash, terms, sink);
     }
 
     /** Withdraws the suspicion that a broken connection raised, and ends the trial of a suspected request. */
@@ -217,7 +217,7 @@
 
     /** Audits a finding about a possible crash. */
     private void audit(CrashFinding finding, Crash crash, String cause, DecisionSink sink) {
-        services.auditSuspicion(finding, crash.fingerprint(), crash.server() + ": " + cause, sink);
+        services.crashAudit().suspicion(finding, crash.fingerprint(), crash.server() + ": " + cause, sink);
     }
 
     /** An attempt that has been sent. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -18,11 +18,9 @@
 import org.chivecourse.coordination.fleet.ObservationOutbox;
 import org.chivecourse.coordination.forward.ForwardingPeers;
 import org.chivecourse.coordination.host.HostSettings;
-import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.registry.ServerRegistry;
 import org.chivecourse.coordination.route.RouteTable;
 import org.chivecourse.coordination.warmup.WarmUpRegistry;
-import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
@@ -81,6 +79,9 @@
     /** Which backend servers are cold. */
     private final WarmUpRegistry warmUps;
 
+    /** Audits what the ends of backend servers mean for requests. */
+    private final CrashAudit crashAudit = new CrashAudit(this);
+
     /** This host's own links to the backend servers. */
     private final ServiceLinks links = new ServiceLinks(this);
 
@@ -285,32 +286,6 @@
         }
     }
 
-    /** Audits a finding about a request that this host may suspect, in a fleet that exchanges such findings. */
-    void auditSuspicion(CrashFinding finding, long fingerprint, String cause, DecisionSink sink) {
-        if (settings.fleet().enabled()) {
-            finding.audit(fingerprint, cause, configuration.revision(), sink);
-        }
-    }
-
-    /**
-     * Audits what the end of a backend server that this host found means for a request: that the request is blocked,
-     * and in a fleet that exchanges such findings everything else that it changes.
-     */
-    void auditCrash(CrashFinding finding, Crash crash, CallTerms terms, DecisionSink sink) {
-        if (settings.fleet().enabled()) {
-            finding.auditOwn(crash, settings.name(), configuration.revision(), sink);
-        }
-        if (finding == CrashFinding.BLOCKED) {
-            sink.decide(new Decision.Audit(new Decision.Change(
-                    Decision.Subject.REQUEST_CONVICTED,
-                    terms.method() + " " + terms.path() + " " + Long.toHexString(crash.fingerprint()),
-                    "suspected",
-                    "convicted",
-                    "crashes of backend servers coincided with it, last " + crash.server(),
-                    configuration.revision())));
-        }
-    }
-
     /**
      * Queues an observation for other hosts if this host belongs to a fleet that exchanges them, and the server is one
      * that they know.
@@ -430,6 +405,11 @@
         return warmUps;
     }
 
+    /** Returns the audit of what the ends of backend servers mean for requests. */
+    CrashAudit crashAudit() {
+        return crashAudit;
+    }
+
     /** Returns this host's own links to the backend servers. */
     public ServiceLinks links() {
         return links;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -63,6 +63,9 @@
     /** The request limits of backend servers. */
     private final RequestLimitExchange requestLimits;
 
+    /** The requests that other gateways report as blocked. */
+    private final ReportedBlocks reportedBlocks;
+
     /** The warm-ups of backend servers. */
     private final WarmUpExchange warmUps;
 
@@ -116,6 +119,7 @@
         peers = new FleetPeers(new Member(settings.name(), settings.fleet().address(), settings.dataCentre()));
         publisherReads = new PublisherReads(peers, publishedState);
         requestLimits = new RequestLimitExchange(peers, services);
+        reportedBlocks = new ReportedBlocks(poisonRequests, services);
         warmUps = new WarmUpExchange(peers, services, this::hasOtherSeeds);
         composer = new DigestComposer(settings, peers, poisonRequests);
         spread = new PublicationSpread(peers, publishedState, this::composeDigest);
@@ -239,32 +243,7 @@
             CrashFinding finding = poisonRequests.recordCrash(crash, now);
             finding.audit(crash, sender.member().name(), revision(), sink);
         }
-        digest.blockedRequests()
-                .forEach((fingerprint, seconds) ->
-                        block(fingerprint, seconds, sender.member().name(), now, sink));
-    }
-
-    /**
-     * Blocks a request that another gateway reported as blocked, and audits this if it was not blocked before.
-     *
-     * @param fingerprint the fingerprint of the request
-     * @param seconds the remaining time of the block
-     * @param source the name of the other gateway's host
-     * @param now the current time in nanoseconds
-     * @param sink receives the audit record
-     */
-    private void block(long fingerprint, int seconds, String source, long now, DecisionSink sink) {
-        boolean blockedBefore = poisonRequests.blocked(fingerprint, now);
-        poisonRequests.block(fingerprint, now + seconds * NANOSECONDS_PER_SECOND, now);
-        if (!blockedBefore) {
-            sink.decide(new Decision.Audit(new Decision.Change(
-                    Decision.Subject.REQUEST_CONVICTED,
-                    Long.toHexString(fingerprint),
-                    "suspected",
-                    "convicted",
-                    "reported by " + source,
-                    revision())));
-        }
+        reportedBlocks.apply(digest, now, sink);
     }
 
     /** Returns the revision of the configuration in force. */
