Take an answer without a warm-up field as the word that its server is warm

Change: an answer to a check that names its server and lacks the field states that it is warm, if the server serves. Servers that were never heard are no longer audited as cold at the start of a gateway.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
@@ -156,15 +156,25 @@
         if (statesLimit && ended.finding() != ProbeFinding.OTHER_SERVER) {
             services.limits().record(server, ended.limit(), now, "probe", now, sink);
         }
-        if (ended.finding() != ProbeFinding.OTHER_SERVER) {
-            services.warmUps().recordStatement(server, ended.warmUpNanoseconds(), now);
-        }
+        recordWarmUp(server, ended, now);
         if (ended.report() != null && ended.finding() != ProbeFinding.OTHER_SERVER) {
             services.recordLoad(server, ended.report(), now);
             server.condition().markReachable();
         }
     }
 
+    /**
+     * Records for how long a backend server says that it stays cold. That it is warm counts only in the answer of one
+     * that serves.
+     */
+    private void recordWarmUp(ServerState server, Event.ProbeEnded ended, long now) {
+        Long remaining = ended.warmUpNanoseconds();
+        boolean counts = ended.finding() == ProbeFinding.SERVING || remaining != null && remaining > 0;
+        if (counts && ended.finding() != ProbeFinding.OTHER_SERVER) {
+            services.warmUps().recordStatement(server, remaining, now);
+        }
+    }
+
     /** Records the health that a backend server reported in the answer to a probe. */
     private void recordAnsweredProbe(ServerState server, boolean healthy, long now) {
         services.recordContact(server, now);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/warmup/WarmUpRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/warmup/WarmUpRegistry.java
@@ -34,6 +34,9 @@
     /** The cold backend servers at the last scan. */
     private Set<ServerState> cold = new LinkedHashSet<>();
 
+    /** Those of which the audit says that they are cold: all but those that were never heard. */
+    private final Set<ServerState> audited = new LinkedHashSet<>();
+
     /** Whether this gateway is in touch with others, or cannot be. */
     private boolean inTouch;
 
@@ -142,6 +145,7 @@
             return;
         }
         scannedAt = now;
+        audited.removeIf(server -> services.server(server.identity()) != server);
         recordNews();
         if (inTouch) {
             services.all()
@@ -162,10 +166,9 @@
     /** Checks whether a backend server is cold, and audits a change. */
     private void scan(ServerState server, Set<ServerState> found, long now, DecisionSink sink) {
         ServerWarmUp warmUp = server.warmUp();
-        boolean coldBefore = cold.contains(server);
         if (!warmUp.cold(now)) {
             warmUp.assignSenders(0);
-            if (coldBefore) {
+            if (audited.remove(server)) {
                 audit(server, "cold", "warm", warmUp.cause(now), sink);
             }
             return;
@@ -174,7 +177,7 @@
         if (!electsSenders) {
             warmUp.assignSenders(services.hostCount());
         }
-        if (!coldBefore) {
+        if (warmUp.known() && audited.add(server)) {
             long remaining = warmUp.remainingNanoseconds(now);
             String until = remaining == ServerWarmUp.NEVER
                     ? ", until it is heard"
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerWarmUp.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerWarmUp.java
@@ -43,6 +43,9 @@
     /** The warm-up of its service. */
     private WarmUp configured = WarmUp.NONE;
 
+    /** Whether its service configures a warm-up. */
+    private boolean bounded;
+
     /** The number of the latest announcement. */
     private long announcement = -1;
 
@@ -97,6 +100,7 @@
     /** Applies the warm-up that its service configures. */
     public void configure(WarmUp warmUp) {
         configured = warmUp;
+        bounded = warmUp.required();
     }
 
     /**
@@ -179,7 +183,7 @@
     public void recordContact(long at) {
         boolean back = awaitsContact ? at - assumedAt >= 0 : known && silent(at);
         known = true;
-        if (back && configured.required()) {
+        if (back && bounded) {
             assumedAt = Math.max(assumedAt, at);
             coldUntil = Math.max(coldUntil, at + configured.duration().toNanos());
             cause = awaitsContact ? cause : "back after silence";
@@ -216,7 +220,7 @@
     /** Returns whether no host has heard from the backend server for so long that it may have started anew. */
     private boolean silent(long now) {
         long limit = failedAt - heardAt > 0 ? UNREACHABLE_NANOSECONDS : SILENCE_NANOSECONDS;
-        return configured.required() && (!known || now - heardAt > limit);
+        return bounded && (!known || now - heardAt > limit);
     }
 
     /** Returns whether the backend server is cold, or may be. */
@@ -236,7 +240,7 @@
 
     /** Returns whether the backend server is cold and its service bounds the requests to such ones. */
     public boolean limited(long now) {
-        return configured.required() && cold(now);
+        return bounded && cold(now);
     }
 
     /**
@@ -313,6 +317,11 @@
         return configured.requestsPerSecond();
     }
 
+    /** Returns whether any host heard from it, as far as this one knows. */
+    public boolean known() {
+        return known;
+    }
+
     /** Returns the time of its newest own statement. */
     public long statedAt() {
         return statedAt;
