--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -105,6 +105,7 @@
             return;
         }
         if (!permits.acquire(attempt, now)) {
+            services.warmUps().recordHeldBack(attempt.server(), now);
             withdraw(attempt, Reason.LIMITED, now, sink);
             return;
         }
@@ -119,6 +120,7 @@
     /** Records that a request is about to be written to a connection of a backend server. */
     private void recordDispatch(AttemptState attempt, long now) {
         attempt.server().allowance().recordDispatch();
+        services.warmUps().recordDispatch(attempt.server(), now);
         crashDetector.watch(attempt);
         services.recordDispatch(attempt.server(), now);
         ServiceState service = services.service(attempt.call().terms().service());
@@ -230,11 +232,12 @@
     private void recordGoodAnswer(AttemptState attempt, long now, DecisionSink sink) {
         long fingerprint = attempt.call().terms().fingerprint();
         if (poisonRequests.recordAnswer(fingerprint, now, now)) {
-            services.auditSuspicion(
-                    CrashFinding.CLEARED,
-                    fingerprint,
-                    "answer of " + attempt.server().identity(),
-                    sink);
+            services.crashAudit()
+                    .suspicion(
+                            CrashFinding.CLEARED,
+                            fingerprint,
+                            "answer of " + attempt.server().identity(),
+                            sink);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -208,7 +208,7 @@
             services.recordCrash(crash);
         }
         CallTerms terms = candidate.attempt.call().terms();
-        auditCrash(finding, crash, terms, sink);
+        services.crashAudit().crash(finding, crash, terms, sink);
     }
 
     /** Withdraws the suspicion that a broken connection raised, and ends the trial of a suspected request. */
@@ -216,29 +216,9 @@
         poisonRequests.withdraw(candidate.fingerprint(), candidate.server().processName());
     }
 
-    /**
-     * Audits what the end of a backend server that this host found means for a request: that the request is blocked,
-     * and in a fleet that exchanges such findings everything else that it changes.
-     */
-    private void auditCrash(CrashFinding finding, Crash crash, CallTerms terms, DecisionSink sink) {
-        if (services.settings().fleet().enabled()) {
-            finding.auditOwn(
-                    crash, services.settings().name(), services.configuration().revision(), sink);
-        }
-        if (finding == CrashFinding.BLOCKED) {
-            sink.decide(new Decision.Audit(new Decision.Change(
-                    Decision.Subject.REQUEST_CONVICTED,
-                    terms.method() + " " + terms.path() + " " + Long.toHexString(crash.fingerprint()),
-                    "suspected",
-                    "convicted",
-                    "crashes of backend servers coincided with it, last " + crash.server(),
-                    services.configuration().revision())));
-        }
-    }
-
     /** Audits a finding about a possible crash. */
     private void audit(CrashFinding finding, Crash crash, String cause, DecisionSink sink) {
-        services.auditSuspicion(finding, crash.fingerprint(), crash.server() + ": " + cause, sink);
+        services.crashAudit().suspicion(finding, crash.fingerprint(), crash.server() + ": " + cause, sink);
     }
 
     /** An attempt that has been sent. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceRegistry.java
@@ -19,9 +19,9 @@
 import org.chivecourse.coordination.fleet.ObservationOutbox;
 import org.chivecourse.coordination.forward.ForwardingPeers;
 import org.chivecourse.coordination.host.HostSettings;
-import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.registry.ServerRegistry;
 import org.chivecourse.coordination.route.RouteTable;
+import org.chivecourse.coordination.warmup.WarmUpRegistry;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
@@ -32,9 +32,6 @@
 /** The services of the configuration in force, with what this host knows of their backend servers. */
 public final class ServiceRegistry {
 
-    /** The time for which a backend server counts as cold that may have become so unseen, in nanoseconds. */
-    private static final long ASSUMED_WARM_UP_NANOSECONDS = 5_000_000_000L;
-
     /** The settings of this host. */
     private final HostSettings settings;
 
@@ -76,6 +73,11 @@
 
     /** Why backend servers in service get no requests at present. */
     private final ServerPauses pauses;
+    /** Which backend servers are cold. */
+    private final WarmUpRegistry warmUps;
+
+    /** Audits what the ends of backend servers mean for requests. */
+    private final CrashAudit crashAudit = new CrashAudit(this);
 
     /** This host's own links to the backend servers. */
     private final ServiceLinks links = new ServiceLinks(this);
@@ -97,6 +99,7 @@
         this.random = random;
         limits = new RequestLimitRegistry(this, random);
         pauses = new ServerPauses(this, random);
+        warmUps = new WarmUpRegistry(this, settings.fleet().enabled());
         hostCount = settings.expectedHosts();
         routes = new RouteTable(List.of(), random);
     }
@@ -143,16 +146,7 @@
             }
         }
         departedServers.update(before, servers);
-        evacuations.takeEnded().forEach(dataCentre -> recordEvacuationEnd(dataCentre, now));
-    }
-
-    /** Records that the evacuation of a data centre has ended, whose backend servers may have become cold meanwhile. */
-    private void recordEvacuationEnd(String dataCentre, long now) {
-        for (ServerState server : servers.values()) {
-            if (server.server().dataCentre().equals(dataCentre)) {
-                server.setColdUntil(now + ASSUMED_WARM_UP_NANOSECONDS);
-            }
-        }
+        evacuations.takeEnded().forEach(dataCentre -> warmUps.assumeCold(dataCentre, "evacuation ended", now));
     }
 
     /** Changes the number of hosts that may run gateways. */
@@ -177,6 +171,7 @@
         switch (observation.kind()) {
             case LOAD -> {
                 server.contact().recordAnswerToOthers(observation.observedAt());
+                server.warmUp().recordContact(observation.observedAt());
                 if (!server.hasReport() || observation.observedAt() - server.reportedAt() > 0) {
                     server.recordReport(observation.report(), observation.observedAt());
                     server.condition().recordAlive(observation.observedAt());
@@ -185,7 +180,10 @@
             }
             case HANDED -> server.recordOthersDispatched(observation.requests(), observation.observedAt());
             case FAILURE -> server.condition().recordFailure(now);
-            case UNREACHABLE -> server.condition().markUnreachable(now);
+            case UNREACHABLE -> {
+                server.condition().markUnreachable(now);
+                server.warmUp().recordFailure(observation.observedAt());
+            }
             case UNWELL -> {
                 server.condition().recordHealth(false, now);
                 server.condition().recordAlive(observation.observedAt());
@@ -248,6 +246,7 @@
     public void recordContact(ServerState server, long now) {
         server.condition().recordAlive(now);
         server.contact().recordAnswer(now);
+        server.warmUp().recordContact(now);
     }
 
     /**
@@ -257,6 +256,7 @@
     public void recordUnreachable(ServerState server, long now) {
         server.condition().markUnreachable(now);
         server.contact().recordFailure(now);
+        server.warmUp().recordFailure(now);
     }
 
     /**
@@ -278,13 +278,6 @@
         }
     }
 
-    /** Audits a finding about a request that this host may suspect, in a fleet that exchanges such findings. */
-    void auditSuspicion(CrashFinding finding, long fingerprint, String cause, DecisionSink sink) {
-        if (settings.fleet().enabled()) {
-            finding.audit(fingerprint, cause, configuration.revision(), sink);
-        }
-    }
-
     /**
      * Queues an observation for other hosts if this host belongs to a fleet that exchanges them, and the server is one
      * that they know.
@@ -414,6 +407,16 @@
         return pauses;
     }
 
+    /** Returns which backend servers are cold. */
+    public WarmUpRegistry warmUps() {
+        return warmUps;
+    }
+
+    /** Returns the audit of what the ends of backend servers mean for requests. */
+    CrashAudit crashAudit() {
+        return crashAudit;
+    }
+
     /** Returns this host's own links to the backend servers. */
     public ServiceLinks links() {
         return links;
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/CoreMetrics.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/CoreMetrics.java
@@ -25,5 +25,11 @@
                 () -> driver.read(core -> core.services().evacuations().withdrawnAttempts()));
         metrics.register("evacuations.refused", (Gauge<Long>)
                 () -> driver.read(core -> core.services().evacuations().refusedCalls()));
+        metrics.register("servers.cold", (Gauge<Integer>)
+                () -> driver.read(core -> core.services().warmUps().cold().size()));
+        metrics.register("servers.cold-sent", (Gauge<Long>)
+                () -> driver.read(core -> core.services().warmUps().sent()));
+        metrics.register("servers.cold-held-back", (Gauge<Long>)
+                () -> driver.read(core -> core.services().warmUps().heldBack()));
     }
 }
