Account for the bytes that cross between data centres

Change: CrossingMeter counts what passes on connections to backend servers and gateways elsewhere under the cause of the exchange that last began on it; PeerMetrics counts digests by what they hold, and learns the places of gateways from them. Reads of the publisher are left out, since its place isn't known. The endpoint for digests is created in a class of its own, which shortens Gateway.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -127,11 +127,7 @@
         if (!proceeding || dropped) {
             return Mono.error(new IllegalStateException("the attempt was withdrawn"));
         }
-        if (send.forwarded()) {
-            registry.metrics().recordForwarding();
-        } else {
-            registry.metrics().recordAttempt(send.number());
-        }
+        registry.metrics().recordAttempt(send, connection.channel());
         exchange.setRequestHeaders(request, send);
         return exchange.sendBody(outbound, connection.channel());
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -13,6 +13,9 @@
 import java.util.function.Supplier;
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.rule.Address;
+import org.chivecourse.transport.crossing.CrossingCause;
+import org.chivecourse.transport.crossing.CrossingMeter;
+import org.chivecourse.transport.crossing.CrossingMetrics;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
@@ -43,6 +46,9 @@
     /** The event loops that connections run on. */
     private final LoopResources loops;
 
+    /** Counts the bytes that cross between data centres. */
+    private final CrossingMetrics crossings;
+
     /** The backend servers in use by their identity. */
     private volatile Map<String, BackendServer> servers = Map.of();
 
@@ -56,12 +62,19 @@
      * @param settings the limits on connections
      * @param tls supplies the TLS context for backend servers, or {@code null} for plain connections
      * @param loops the event loops that connections run on
+     * @param crossings counts the bytes that cross between data centres
      */
-    public BackendConnections(int expectedHosts, HttpSettings settings, Supplier<SslContext> tls, LoopResources loops) {
+    public BackendConnections(
+            int expectedHosts,
+            HttpSettings settings,
+            Supplier<SslContext> tls,
+            LoopResources loops,
+            CrossingMetrics crossings) {
         this.expectedHosts = expectedHosts;
         this.settings = settings;
         this.tls = tls;
         this.loops = loops;
+        this.crossings = crossings;
     }
 
     /**
@@ -114,7 +127,10 @@
                 .disableRetry(true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, ConnectionOptions.receiveAllocator())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionOptions.watermark())
-                .doOnChannelInit((observer, channel, remote) -> InboundGuards.addToBackendServer(channel))
+                .doOnChannelInit((observer, channel, remote) -> {
+                    InboundGuards.addToBackendServer(channel);
+                    CrossingMeter.addTo(channel, server.dataCentre(), CrossingCause.CONNECTION, crossings);
+                })
                 .headers(headers -> headers.remove(HttpHeaderNames.USER_AGENT));
         SslContext context = tls.get();
         return new PooledClient(
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMetrics.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMetrics.java
@@ -4,8 +4,12 @@
 import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import io.netty.channel.Channel;
 import java.util.concurrent.TimeUnit;
+import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.Outcome;
+import org.chivecourse.transport.crossing.CrossingCause;
+import org.chivecourse.transport.crossing.CrossingMeter;
 
 /** Counts and times the exchanges with callers and the attempts at backend servers. */
 public final class ExchangeMetrics {
@@ -60,22 +64,23 @@
     }
 
     /**
-     * Records that an attempt is dispatched to a backend server.
+     * Records that an attempt is dispatched to a backend server, or forwarded to another gateway.
      *
-     * @param number the number of the attempt among those of its call, counted from one
+     * @param send the decision that started the attempt
+     * @param channel the connection on which it is dispatched
      */
-    void recordAttempt(int number) {
+    void recordAttempt(Decision.Send send, Channel channel) {
+        CrossingMeter.begin(channel, CrossingCause.of(send));
+        if (send.forwarded()) {
+            forwardedCalls.inc();
+            return;
+        }
         sentAttempts.inc();
-        if (number > 1) {
+        if (send.number() > 1) {
             retriedAttempts.inc();
         }
     }
 
-    /** Records that a call is forwarded to another gateway. */
-    void recordForwarding() {
-        forwardedCalls.inc();
-    }
-
     /** Records that another gateway forwarded a call to this one. */
     void recordTaking() {
         takenCalls.inc();
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ServerChecks.java
@@ -16,6 +16,8 @@
 import org.chivecourse.protocol.http.HeaderDialect;
 import org.chivecourse.protocol.http.RetryAfterField;
 import org.chivecourse.state.server.LoadReport;
+import org.chivecourse.transport.crossing.CrossingCause;
+import org.chivecourse.transport.crossing.CrossingMeter;
 import org.chivecourse.transport.driver.CoreDriver;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -104,13 +106,19 @@
         if (client == null) {
             return;
         }
-        HttpClient.ResponseReceiver<?> receiver = client.get().uri(HEALTH_PATH);
+        HttpClient.ResponseReceiver<?> receiver = measured(client).get().uri(HEALTH_PATH);
         readAnswer(receiver, HEALTH_CHECK_TIMEOUT)
                 .map(ServerChecks::toHealthCheckResult)
                 .onErrorReturn(HealthCheckResult.UNREACHABLE)
                 .subscribe(answer -> driver.handle(new Event.HealthChecked(address, answer)));
     }
 
+    /** Returns a client whose requests are counted as probes if they cross to another data centre. */
+    private static HttpClient measured(HttpClient client) {
+        return client.doOnRequest(
+                (request, connection) -> CrossingMeter.begin(connection.channel(), CrossingCause.PROBE));
+    }
+
     /**
      * Reads an answer to its end and discards its body. Its connection is kept only after a success, since any other
      * answer may state that the check was not run, and names no request.
@@ -169,7 +177,8 @@
             return;
         }
         AtomicLong sentAtNanoseconds = new AtomicLong();
-        HttpClient.ResponseReceiver<?> receiver = client.request(HttpMethod.GET)
+        HttpClient.ResponseReceiver<?> receiver = measured(client)
+                .request(HttpMethod.GET)
                 .uri(path)
                 .send((request, outbound) -> {
                     driver.handle(new Event.ProbeReady(address));
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationTransfer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ConfigurationTransfer.java
@@ -110,6 +110,8 @@
                     protected void initChannel(SocketChannel accepted) {
                         configurePipeline(accepted, MAXIMUM_REQUEST_BYTES, ConfigurationRequest.getDefaultInstance());
                         accepted.pipeline().addLast(new RequestHandler());
+                        InetSocketAddress remote = accepted.remoteAddress();
+                        metrics.measure(accepted, remote.getAddress().getHostAddress() + ":" + remote.getPort());
                     }
                 })
                 .bind(address)
@@ -210,6 +212,7 @@
                     protected void initChannel(SocketChannel connected) {
                         configurePipeline(connected, MAXIMUM_REPLY_BYTES, ConfigurationReply.getDefaultInstance());
                         connected.pipeline().addLast(new ReplyHandler(name, request, reader));
+                        metrics.measure(connected, address);
                     }
                 })
                 .connect(BackendConnections.socketAddress(address))
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/PeerEndpoint.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.event.Event;
 import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.peer.PeerMessageException;
 import org.chivecourse.transport.driver.CoreDriver;
@@ -151,7 +152,10 @@
             send(codec.encode(reply.reply()), reply.address());
         } else if (decision instanceof Decision.SendFleetDigest sendFleetDigest) {
             byte[] digest = codec.encode(sendFleetDigest.digest(), System.nanoTime());
-            sendFleetDigest.addresses().forEach(recipient -> send(digest, recipient));
+            sendFleetDigest.addresses().forEach(recipient -> {
+                metrics.recordCrossing(sendFleetDigest, recipient, digest.length);
+                send(digest, recipient);
+            });
         } else if (decision instanceof Decision.PullConfiguration pull) {
             configurationTransfer.fetch(pull);
         } else if (decision instanceof Decision.PullPublication pull) {
@@ -195,7 +199,9 @@
             try {
                 InetSocketAddress sender = packet.sender();
                 String senderAddress = sender.getAddress().getHostAddress() + ":" + sender.getPort();
-                driver.handle(codec.decode(datagram, senderAddress, System.nanoTime()));
+                Event event = codec.decode(datagram, senderAddress, System.nanoTime());
+                metrics.recordArrival(event, datagram.length);
+                driver.handle(event);
             } catch (PeerMessageException exception) {
                 metrics.recordDropped();
                 LOGGER.debugf("dropped a datagram from %s: %s", packet.sender(), exception.getMessage());
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -8,9 +8,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Clock;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -33,10 +30,9 @@
 import org.chivecourse.gateway.settings.GatewaySettings;
 import org.chivecourse.gateway.tls.ReloadingTls;
 import org.chivecourse.gateway.tls.TlsException;
-import org.chivecourse.protocol.peer.MessageAuthenticator;
-import org.chivecourse.protocol.peer.PeerCodec;
 import org.chivecourse.protocol.trace.TraceFormat;
 import org.chivecourse.protocol.trace.TraceRecorder;
+import org.chivecourse.transport.crossing.CrossingMetrics;
 import org.chivecourse.transport.driver.CoreDriver;
 import org.chivecourse.transport.http.BackendConnections;
 import org.chivecourse.transport.http.ExchangeMemory;
@@ -44,7 +40,6 @@
 import org.chivecourse.transport.http.ExchangeRegistry;
 import org.chivecourse.transport.http.ServerChecks;
 import org.chivecourse.transport.peer.PeerEndpoint;
-import org.chivecourse.transport.peer.PeerMetrics;
 import org.jboss.logging.Logger;
 import reactor.netty.resources.LoopResources;
 
@@ -93,6 +88,9 @@
     /** Exchanges digests with other gateways, {@code null} if no peers are configured. */
     private final PeerEndpoint peerEndpoint;
 
+    /** Counts the bytes that cross between data centres. */
+    private final CrossingMetrics crossings;
+
     /** Records changes for operators. */
     private final AuditTrail auditTrail;
 
@@ -159,12 +157,14 @@
         driver = new CoreDriver(
                 new HostCore(hostSettings, new SplittableRandom(seed), environment.publicationDecoder()),
                 traceRecorder);
+        MetricRegistry metrics = new MetricRegistry();
+        crossings = new CrossingMetrics(metrics, settings.dataCentre());
         connections = new BackendConnections(
                 settings.expectedHosts(),
                 SettingsTranslation.httpSettings(settings),
                 backendTls::context,
-                loopResources);
-        MetricRegistry metrics = new MetricRegistry();
+                loopResources,
+                crossings);
         ExchangeMetrics exchangeMetrics = new ExchangeMetrics(metrics);
         ExchangeMemory memory = ExchangeMemory.ofProcess(Runtime.getRuntime().maxMemory(), exchangeMetrics);
         exchanges = new ExchangeRegistry(
@@ -192,32 +192,10 @@
                 loopResources);
         feeds = new PlatformFeeds(settings, driver, seed, clock);
         publicationReader = environment.createPublicationReader(settings, driver, loopResources);
-        peerEndpoint = settings.peers() == null ? null : createPeerEndpoint(metrics);
+        peerEndpoint = PeerEndpoints.create(settings, driver, metrics, crossings, eventLoopGroup);
         driver.setDecisionSink(this::perform);
     }
 
-    /**
-     * Creates the endpoint for digests. Messages are unauthenticated if no shared key is configured.
-     *
-     * @param metrics the registry for the endpoint's metrics
-     * @return the endpoint, not yet started
-     * @throws GatewayException if the shared key cannot be read
-     */
-    private PeerEndpoint createPeerEndpoint(MetricRegistry metrics) throws GatewayException {
-        String keyFile = settings.peers().keyFile();
-        try {
-            MessageAuthenticator authenticator = keyFile.isEmpty()
-                    ? MessageAuthenticator.Disabled.INSTANCE
-                    : new MessageAuthenticator.HmacSha256(Files.readAllBytes(Path.of(keyFile)));
-            InetSocketAddress address =
-                    SettingsTranslation.listenAddress(settings.peers().address());
-            return new PeerEndpoint(
-                    address, new PeerCodec(authenticator), driver, new PeerMetrics(metrics), eventLoopGroup);
-        } catch (IOException exception) {
-            throw new GatewayException("shared key \"" + keyFile + "\" cannot be read", exception);
-        }
-    }
-
     /**
      * Starts the gateway. It becomes ready once a configuration is in force.
      *
@@ -364,6 +342,7 @@
         StatusPrinter printer = new StatusPrinter();
         ObjectNode status = driver.read(core ->
                 printer.status(settings.name(), state.toString(), core, System.nanoTime(), auditTrail.latest()));
+        StatusPrinter.addCrossings(status.putObject("crossings"), crossings);
         feeds.addReplicaStatuses(status);
         return status.toPrettyString();
     }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
@@ -14,6 +14,7 @@
 import org.chivecourse.state.peer.PeerState;
 import org.chivecourse.state.publication.PublicationRevision;
 import org.chivecourse.state.server.ServerState;
+import org.chivecourse.transport.crossing.CrossingMetrics;
 
 /** Builds the status document of a gateway. */
 public final class StatusPrinter {
@@ -139,6 +140,20 @@
         }
     }
 
+    /**
+     * Adds what was exchanged with other data centres since the start.
+     *
+     * @param node receives the members
+     * @param crossings counts the bytes by cause
+     */
+    public static void addCrossings(ObjectNode node, CrossingMetrics crossings) {
+        node.put("connections", crossings.connections());
+        crossings
+                .bytes()
+                .forEach((cause, bytes) ->
+                        node.putObject(cause).put("bytes-sent", bytes.sent()).put("bytes-received", bytes.received()));
+    }
+
     /**
      * Adds a recorded change.
      *
