Keep calls in their data centre unless leaving pays

The relay tells the room of its data centre to others once a second; loads and dispatches of single servers go to those that ask for a service, each 20 ms, and are asked for at once when a call leaves. Three bridges in place of five. What a data centre takes is bounded by the loads of its servers, or by the rate that it stated, divided among the senders. Relaying and the reports of suspected requests are classes of their own, which shortens DigestSchedule and FleetExchange.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -23,6 +23,9 @@
     /** The candidates of the current selection; reused to avoid an allocation per selection. */
     private final Candidates candidates = new Candidates();
 
+    /** Keeps calls in their data centre, if the settings ask for it. */
+    private final NearbySelection nearby = new NearbySelection(candidates);
+
     /** Creates a selector. */
     ServerSelector(ChoicePolicy policy, RandomGenerator random) {
         this.policy = policy;
@@ -51,12 +54,13 @@
             return null;
         }
         beginSelection(service, call, now);
-        collectSample(
-                service,
-                server -> isAvailable(server, now)
-                        && !call.hasTried(server)
-                        && policy.inFlight(server, candidates) < policy.maximumIdleInFlight(server));
-        return candidates.size() == 0 ? null : policy.choose(candidates, service.nextSelection(), random);
+        Predicate<ServerState> idle = server -> isAvailable(server, now)
+                && !call.hasTried(server)
+                && policy.inFlight(server, candidates) < policy.maximumIdleInFlight(server);
+        if (!nearby.applies(service, now)) {
+            return chooseAmong(service, idle);
+        }
+        return nearby.chooseIdle(service, call, place -> chooseAmong(service, idle.and(place)), now);
     }
 
     /**
@@ -79,19 +83,36 @@
      */
     ServerState select(ServiceState service, CallState call, long now) {
         beginSelection(service, call, now);
-        if (!call.attempts().isEmpty()) {
-            collectSample(service, server -> isAvailable(server, now) && !call.hasTried(server));
-        }
-        if (candidates.size() == 0) {
-            collectSample(service, server -> isAvailable(server, now));
+        if (nearby.applies(service, now)) {
+            Predicate<ServerState> available = server -> isAvailable(server, now);
+            Predicate<ServerState> untried = available.and(server -> !call.hasTried(server));
+            ServerState chosen = nearby.choose(service, call, place -> chooseAmong(service, untried.and(place)), now);
+            return chosen != null || call.attempts().isEmpty()
+                    ? chosen
+                    : nearby.choose(service, call, place -> chooseAmong(service, available.and(place)), now);
         }
-        if (candidates.size() == 0) {
-            candidates.collect(service.servers(), server -> isAvailableIgnoringEjection(server, now));
+        ServerState available = chooseAvailable(service, call, now);
+        if (available != null) {
+            return available;
         }
-        if (candidates.size() == 0) {
-            return null;
-        }
-        return policy.choose(candidates, service.nextSelection(), random);
+        candidates.collect(service.servers(), server -> isAvailableIgnoringEjection(server, now));
+        return candidates.size() == 0 ? null : policy.choose(candidates, service.nextSelection(), random);
+    }
+
+    /** Chooses an available backend server, preferring those that the call has not been tried on. */
+    private ServerState chooseAvailable(ServiceState service, CallState call, long now) {
+        Predicate<ServerState> available = server -> isAvailable(server, now);
+        ServerState untried = call.attempts().isEmpty()
+                ? null
+                : chooseAmong(service, available.and(server -> !call.hasTried(server)));
+        return untried == null ? chooseAmong(service, available) : untried;
+    }
+
+    /** Chooses among the eligible backend servers, and returns {@code null} if there are none. */
+    private ServerState chooseAmong(ServiceState service, Predicate<ServerState> eligible) {
+        candidates.clear();
+        collectSample(service, eligible);
+        return candidates.size() == 0 ? null : policy.choose(candidates, service.nextSelection(), random);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -9,6 +9,7 @@
 import org.chivecourse.configuration.model.Service;
 import org.chivecourse.coordination.choice.SendRate;
 import org.chivecourse.coordination.choice.TypicalWorkTimes;
+import org.chivecourse.coordination.crossing.ServiceCrossing;
 import org.chivecourse.coordination.health.LinkMonitor;
 import org.chivecourse.coordination.hedge.HedgeCandidates;
 import org.chivecourse.coordination.hedge.HedgeSchedule;
@@ -75,6 +76,9 @@
     /** Finds out whether this host's own links to the backend servers are lost. */
     private final LinkMonitor links = new LinkMonitor();
 
+    /** What is known and needed of the service elsewhere, {@code null} if calls are not kept in their data centre. */
+    private final ServiceCrossing crossing;
+
     /** The number of hosts that may run gateways. */
     private final IntSupplier hostCount;
 
@@ -97,6 +101,9 @@
         this.settings = settings;
         this.hostCount = hostCount;
         this.service = service;
+        crossing = settings.fleet().crossing() == null
+                ? null
+                : new ServiceCrossing(settings.fleet().crossing().patienceNanoseconds());
         probeBudget = new ProbeBudget(settings.expectedHosts(), now);
         waitingCalls = new WaitingCalls(service.limits().queueLimit());
         retryBudget = settings.fleet().enabled()
@@ -209,6 +216,11 @@
         return workTimes;
     }
 
+    /** Returns what is known and needed of the service elsewhere, {@code null} if calls are not kept in their place. */
+    public ServiceCrossing crossing() {
+        return crossing;
+    }
+
     /** Returns the monitor of this host's own links to the backend servers. */
     public LinkMonitor links() {
         return links;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/choice/Candidates.java
@@ -74,6 +74,11 @@
         }
     }
 
+    /** Removes all candidates. */
+    public void clear() {
+        size = 0;
+    }
+
     /** Replaces the candidates by all eligible backend servers. */
     public void collect(List<ServerState> all, Predicate<ServerState> eligible) {
         collect(all, eligible, 0, all.size());
@@ -107,8 +112,12 @@
      * @param index the index of the candidate, less than {@link #size()}
      */
     double finishNanoseconds(int index) {
-        return FinishEstimate.nanoseconds(
-                servers[index], typicalNanoseconds, inFlightWithUnreported(servers[index]), now);
+        return finishNanoseconds(servers[index]);
+    }
+
+    /** Returns the estimated time until a backend server answers, in nanoseconds. */
+    public double finishNanoseconds(ServerState server) {
+        return FinishEstimate.nanoseconds(server, typicalNanoseconds, inFlightWithUnreported(server), now);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -317,6 +317,9 @@
         REQUEST_SUSPECTED,
 
         /** Whether a request is blocked because it crashes backend servers. */
-        REQUEST_CONVICTED
+        REQUEST_CONVICTED,
+
+        /** Whether calls of a service have a reason to leave their data centre. */
+        CROSSING
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/BridgeElection.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/BridgeElection.java
@@ -15,8 +15,11 @@
  * observations, which ranks last.
  */
 enum BridgeElection {
-    /** The only instance. */
-    INSTANCE;
+    /** Elects the usual number of bridges. */
+    INSTANCE(BridgeElection.FIRST_BRIDGES, BridgeElection.LAST_BRIDGES, 2, 1_000_000_000L),
+
+    /** Elects few bridges, where bytes between data centres are dear. */
+    FEW(BridgeElection.FIRST_BRIDGES, 1, 1, 5_000_000_000L);
 
     /** The number of bridges at the start of the rank order. */
     private static final int FIRST_BRIDGES = 2;
@@ -30,27 +33,67 @@
      */
     static final int BRIDGES_PER_DATA_CENTRE = FIRST_BRIDGES + LAST_BRIDGES;
 
+    /** The number of bridges at the start of the rank order that are elected. */
+    private final int firstBridges;
+
+    /** The number of bridges at the end of the rank order that are elected. */
+    private final int lastBridges;
+
+    /** The number of other gateways that a bridge names in each regular digest to another data centre. */
+    private final int namedMembers;
+
+    /** The time between two requests to silent seeds while other data centres are known, in nanoseconds. */
+    private final long seedRequestIntervalNanoseconds;
+
+    /** Creates an election. */
+    BridgeElection(int firstBridges, int lastBridges, int namedMembers, long seedRequestIntervalNanoseconds) {
+        this.namedMembers = namedMembers;
+        this.seedRequestIntervalNanoseconds = seedRequestIntervalNanoseconds;
+        this.firstBridges = firstBridges;
+        this.lastBridges = lastBridges;
+    }
+
+    /** Returns the number of other gateways that a bridge names in each regular digest to another data centre. */
+    int namedMembers() {
+        return namedMembers;
+    }
+
+    /** Returns the time between two requests to silent seeds while other data centres are known, in nanoseconds. */
+    long seedRequestIntervalNanoseconds() {
+        return seedRequestIntervalNanoseconds;
+    }
+
     /**
      * Returns whether this gateway exchanges digests with other data centres.
      *
      * @param peers the other gateways of the fleet
      * @param now the current time in nanoseconds
-     * @return {@code true} if fewer than {@link #FIRST_BRIDGES} live gateways of its data centre rank below it, or
-     *     fewer than {@link #LAST_BRIDGES} rank above it
+     * @return {@code true} if few live gateways of its data centre rank below it, or few rank above it
      */
     boolean isBridge(FleetPeers peers, long now) {
-        int ownRank = PublicationWatcherElection.rank(peers.self().name());
+        return isBridge(peers, peers.self().name(), now);
+    }
+
+    /** Returns whether a live gateway of this data centre exchanges digests with other ones. */
+    boolean isBridge(FleetPeers peers, String name, long now) {
+        int ownRank = PublicationWatcherElection.rank(name);
+        boolean ranksSelf = !name.equals(peers.self().name());
         int lowerRankedCount = 0;
         int higherRankedCount = 0;
+        if (ranksSelf) {
+            boolean ranksLower = PublicationWatcherElection.rank(peers.self().name()) < ownRank;
+            lowerRankedCount += ranksLower ? 1 : 0;
+            higherRankedCount += ranksLower ? 0 : 1;
+        }
         for (FleetPeer peer : peers.live(now)) {
-            if (peers.isLocal(peer)) {
+            if (peers.isLocal(peer) && !peer.member().name().equals(name)) {
                 boolean ranksLower =
                         PublicationWatcherElection.rank(peer.member().name()) < ownRank;
                 lowerRankedCount += ranksLower ? 1 : 0;
                 higherRankedCount += ranksLower ? 0 : 1;
             }
         }
-        return lowerRankedCount < FIRST_BRIDGES || higherRankedCount < LAST_BRIDGES;
+        return lowerRankedCount < firstBridges || higherRankedCount < lastBridges;
     }
 
     /**
@@ -61,7 +104,7 @@
      * @return {@code true} if this data centre has more gateways than bridges
      */
     boolean mustForward(FleetPeers peers) {
-        return peers.localCount() >= BRIDGES_PER_DATA_CENTRE;
+        return peers.localCount() >= firstBridges + lastBridges;
     }
 
     /**
@@ -92,7 +135,7 @@
         List<FleetPeer> recipients = new ArrayList<>();
         knownByDataCentre.forEach((dataCentre, all) -> {
             List<FleetPeer> live = liveByDataCentre.getOrDefault(dataCentre, List.of());
-            recipients.addAll(live.size() >= BRIDGES_PER_DATA_CENTRE ? live : all);
+            recipients.addAll(live.size() >= firstBridges + lastBridges ? live : all);
         });
         return recipients;
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
@@ -193,15 +193,15 @@
         }
 
         /**
-         * Creates the content of a regular digest to another data centre, which names {@link #REGULAR_DIGEST_MEMBERS}
-         * other gateways and repeats known crashes and answers to suspected requests.
+         * Creates the content of a regular digest to another data centre, which names other gateways
+         * and repeats known crashes and answers to suspected requests.
          *
          * @param limitReports what this gateway knows of request limits of backend servers
+         * @param members the number of other gateways to name
          * @return the content
          */
-        static Content remote(List<LimitReport> limitReports) {
-            return new Content(
-                    false, REGULAR_DIGEST_MEMBERS, List.of(), List.of(), MAXIMUM_SUSPICIONS, limitReports, null);
+        static Content remote(List<LimitReport> limitReports, int members) {
+            return new Content(false, members, List.of(), List.of(), MAXIMUM_SUSPICIONS, limitReports, null);
         }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -41,12 +41,6 @@
      */
     static final long MINIMUM_URGENT_INTERVAL_NANOSECONDS = 10_000_000L;
 
-    /** The interval at which observations are relayed to few other data centres, in nanoseconds. */
-    private static final long RELAY_INTERVAL_NANOSECONDS = 50_000_000L;
-
-    /** The number of other data centres beyond which observations are relayed more rarely. */
-    private static final int FEW_DATA_CENTRES = 2;
-
     /**
      * The interval between two digest requests to seeds that are not live peers, shortly after the start, in
      * nanoseconds.
@@ -74,6 +68,12 @@
     /** Composes the digests to send. */
     private final Composer composer;
 
+    /** What data centres tell each other of their room and needs. */
+    private final CrossingExchange crossings;
+
+    /** Relays observations to other data centres. */
+    private final ObservationRelay relay;
+
     /** The addresses of the seeds; some of them may no longer belong to a gateway. */
     private List<String> seeds;
 
@@ -92,9 +92,6 @@
     /** The time of the last check for due gateways of other data centres, in nanoseconds. */
     private long lastRemoteCheckAt;
 
-    /** The time at which observations were last relayed or discarded, in nanoseconds. */
-    private long lastRelayAt;
-
     /** The time of the last digest request to seeds, in nanoseconds. */
     private long lastSeedRequestAt;
 
@@ -105,6 +102,7 @@
      * @param peers the other gateways of the fleet
      * @param observations the observations and crashes that other gateways have not received yet
      * @param requestLimits the request limits of backend servers
+     * @param crossings what data centres tell each other of their room and needs
      * @param composer composes the digests to send
      */
     DigestSchedule(
@@ -112,13 +110,16 @@
             FleetPeers peers,
             ObservationOutbox observations,
             RequestLimitExchange requestLimits,
+            CrossingExchange crossings,
             Composer composer) {
         this.settings = settings;
         seeds = settings.fleet().seeds();
         this.peers = peers;
         this.observations = observations;
         this.requestLimits = requestLimits;
+        this.crossings = crossings;
         this.composer = composer;
+        relay = new ObservationRelay(peers, observations, crossings, composer);
     }
 
     /** Returns whether this gateway knows a seed that is not itself. */
@@ -152,9 +153,7 @@
         requestDigestsFromSeeds(now, sink);
         sendCrashes(now, sink);
         sendLocalDigests(now, sink);
-        if (mayRelay(RELAY_INTERVAL_NANOSECONDS, now)) {
-            relayObservations(now, sink);
-        }
+        relay.relayIfDue(ObservationRelay.INTERVAL_NANOSECONDS, now, sink);
         sendRemoteDigests(now, sink);
     }
 
@@ -173,25 +172,11 @@
         if (observations.hasUrgentLocal() && now - lastLocalDigestAt >= interval) {
             sendLocalDigest(now, sink);
         }
-        if (observations.hasUrgentRemote() && mayRelay(Math.min(interval, RELAY_INTERVAL_NANOSECONDS), now)) {
-            relayObservations(now, sink);
-        }
-    }
-
-    /**
-     * Returns whether the interval between two relays has passed. It grows in proportion to the number of other data
-     * centres, so that the number of datagrams that a relay sends does not.
-     *
-     * @param interval the interval with {@link #FEW_DATA_CENTRES} other data centres or fewer, in nanoseconds
-     * @param now the current time in nanoseconds
-     * @return {@code true} if observations may be relayed
-     */
-    private boolean mayRelay(long interval, long now) {
-        if (now - lastRelayAt < interval) {
-            return false;
+        relay.askIfDue(now, sink);
+        if (observations.hasUrgentRemote()) {
+            long shortest = Math.min(interval, ObservationRelay.INTERVAL_NANOSECONDS);
+            relay.relayIfDue(crossings.relayIntervalNanoseconds(shortest), now, sink);
         }
-        int dataCentres = RelayElection.INSTANCE.recipients(peers, now).size();
-        return now - lastRelayAt >= interval * Math.max(FEW_DATA_CENTRES, dataCentres) / FEW_DATA_CENTRES;
     }
 
     /**
@@ -203,9 +188,8 @@
      */
     private void requestDigestsFromSeeds(long now, DecisionSink sink) {
         boolean startingUp = now - startedAt < STARTUP_PERIOD_NANOSECONDS;
-        if (now - lastSeedRequestAt
-                        < (startingUp ? STARTUP_SEED_REQUEST_INTERVAL_NANOSECONDS : REMOTE_DIGEST_INTERVAL_NANOSECONDS)
-                || !BridgeElection.INSTANCE.isBridge(peers, now)) {
+        long interval = startingUp ? STARTUP_SEED_REQUEST_INTERVAL_NANOSECONDS : peers.seedRequestInterval(now);
+        if (now - lastSeedRequestAt < interval || !peers.bridges().isBridge(peers, now)) {
             return;
         }
         lastSeedRequestAt = now;
@@ -253,7 +237,8 @@
             lastRepetitionAt = repeating ? now : lastRepetitionAt;
             List<LimitReport> limitReports = repeating ? requestLimits.next(now) : requestLimits.pollChanged(now);
             List<Observation> observed = observations.pollLocal(limitReports.size());
-            send(localPeers, composer.compose(Content.local(observed, limitReports, repeating), now), now, sink);
+            FleetDigest digest = composer.compose(Content.local(observed, limitReports, repeating), now);
+            send(localPeers, crossings.completeLocal(digest, now), now, sink);
         }
     }
 
@@ -309,12 +294,12 @@
      */
     private void sendRemoteDigests(long now, DecisionSink sink) {
         if (now - lastRemoteCheckAt < REMOTE_DIGEST_CHECK_INTERVAL_NANOSECONDS
-                || !BridgeElection.INSTANCE.isBridge(peers, now)) {
+                || !peers.bridges().isBridge(peers, now)) {
             return;
         }
         lastRemoteCheckAt = now;
         List<FleetPeer> due = new ArrayList<>();
-        for (FleetPeer peer : BridgeElection.INSTANCE.remoteRecipients(peers, now)) {
+        for (FleetPeer peer : peers.bridges().remoteRecipients(peers, now)) {
             if (peer.sinceLastSent(now) >= REMOTE_DIGEST_INTERVAL_NANOSECONDS && shouldSendTo(peer, now)) {
                 due.add(peer);
             }
@@ -322,30 +307,16 @@
         if (due.isEmpty()) {
             return;
         }
-        send(due, composer.compose(Content.remote(requestLimits.next(now)), now), now, sink);
-    }
-
-    /**
-     * Relays the observations of this data centre to one gateway of each other data centre. A gateway that is not the
-     * relay discards them, since the relay has received them as well.
-     *
-     * @param now the current time in nanoseconds
-     * @param sink receives the resulting decisions
-     */
-    private void relayObservations(long now, DecisionSink sink) {
-        lastRelayAt = now;
-        if (!RelayElection.INSTANCE.isRelay(peers, now)) {
-            observations.discardRemote();
+        FleetDigest digest = composer.compose(
+                Content.remote(requestLimits.next(now), peers.bridges().namedMembers()), now);
+        if (CrossingExchange.hasSpaceIn(digest)) {
+            send(due, crossings.completeRemote(digest, now), now, sink);
             return;
         }
-        List<Observation> observed = observations.pollRemote();
-        List<FleetPeer> recipients = RelayElection.INSTANCE.recipients(peers, now);
-        if (!observed.isEmpty() && !recipients.isEmpty()) {
-            send(
-                    recipients,
-                    composer.compose(new Content(false, 0, observed, List.of(), 0, List.of(), null), now),
-                    now,
-                    sink);
+        send(due, digest, now, sink);
+        FleetDigest room = crossings.completeRemote(composer.compose(Content.STATUS_ONLY, now), now);
+        if (!room.rooms().isEmpty()) {
+            send(due, room, now, sink);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -8,11 +8,8 @@
 import org.chivecourse.coordination.fleet.DigestComposer.Content;
 import org.chivecourse.coordination.forward.ForwardingPeers;
 import org.chivecourse.coordination.host.HostSettings;
-import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.coordination.publication.PublishedState;
-import org.chivecourse.state.fleet.AnsweredRequest;
-import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
@@ -72,8 +69,11 @@
     /** The services of the configuration in force. */
     private final ServiceRegistry services;
 
-    /** The requests that are suspected or blocked because backend servers crashed on them. */
-    private final PoisonRequests poisonRequests;
+    /** Applies what other gateways report of suspected requests. */
+    private final SuspicionReports suspicions;
+
+    /** What data centres tell each other of their room and needs. */
+    private final CrossingExchange crossings;
 
     /** The time of the first event, in nanoseconds. */
     private long startedAt;
@@ -108,14 +108,19 @@
         this.settings = settings;
         this.publishedState = publishedState;
         this.services = services;
-        this.poisonRequests = poisonRequests;
+        suspicions = new SuspicionReports(services, poisonRequests);
         this.forwardingPeers = forwardingPeers;
-        peers = new FleetPeers(new Member(settings.name(), settings.fleet().address(), settings.dataCentre()));
+        boolean keepsCallsNearby = settings.fleet().crossing() != null;
+        peers = new FleetPeers(
+                new Member(settings.name(), settings.fleet().address(), settings.dataCentre()),
+                keepsCallsNearby ? BridgeElection.FEW : BridgeElection.INSTANCE);
+        crossings = new CrossingExchange(peers, services, keepsCallsNearby);
         publisherReads = new PublisherReads(peers, publishedState);
         requestLimits = new RequestLimitExchange(peers, services);
         composer = new DigestComposer(settings, peers, poisonRequests);
         spread = new PublicationSpread(peers, publishedState, this::composeDigest);
-        schedule = new DigestSchedule(settings, peers, services.observations(), requestLimits, this::composeDigest);
+        schedule = new DigestSchedule(
+                settings, peers, services.observations(), requestLimits, crossings, this::composeDigest);
     }
 
     /**
@@ -156,6 +161,7 @@
             peers.removeSilent(now);
         }
         requestLimits.assignSenders(now);
+        crossings.auditNeeds(now, sink);
         if (forwardingPeers.update(peers.live(now), now)) {
             sink.decide(new Decision.UseServers(services.backendServers()));
         }
@@ -221,47 +227,8 @@
             }
         }
         requestLimits.apply(digest, now, sink);
-        for (AnsweredRequest answered : digest.answeredRequests()) {
-            if (poisonRequests.recordAnswer(answered.fingerprint(), answered.answeredAt(), now)) {
-                String cause = "answer known from " + sender.member().name();
-                CrashFinding.CLEARED.audit(answered.fingerprint(), cause, revision(), sink);
-            }
-        }
-        for (Crash crash : digest.crashes()) {
-            CrashFinding finding = poisonRequests.recordCrash(crash, now);
-            finding.audit(crash, sender.member().name(), revision(), sink);
-        }
-        digest.blockedRequests()
-                .forEach((fingerprint, seconds) ->
-                        block(fingerprint, seconds, sender.member().name(), now, sink));
-    }
-
-    /**
-     * Blocks a request that another gateway reported as blocked, and audits this if it was not blocked before.
-     *
-     * @param fingerprint the fingerprint of the request
-     * @param seconds the remaining time of the block
-     * @param source the name of the other gateway's host
-     * @param now the current time in nanoseconds
-     * @param sink receives the audit record
-     */
-    private void block(long fingerprint, int seconds, String source, long now, DecisionSink sink) {
-        boolean blockedBefore = poisonRequests.blocked(fingerprint, now);
-        poisonRequests.block(fingerprint, now + seconds * NANOSECONDS_PER_SECOND, now);
-        if (!blockedBefore) {
-            sink.decide(new Decision.Audit(new Decision.Change(
-                    Decision.Subject.REQUEST_CONVICTED,
-                    Long.toHexString(fingerprint),
-                    "suspected",
-                    "convicted",
-                    "reported by " + source,
-                    revision())));
-        }
-    }
-
-    /** Returns the revision of the configuration in force. */
-    private long revision() {
-        return services.configuration().revision();
+        crossings.receive(digest, local, now);
+        suspicions.apply(digest, now, sink);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetPeers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetPeers.java
@@ -42,6 +42,9 @@
     /** The name, address and data centre of this gateway. */
     private final Member self;
 
+    /** Elects the gateways that exchange digests with other data centres. */
+    private final BridgeElection bridges;
+
     /** The known gateways by name, including those that are not live. */
     private final Map<String, FleetPeer> peersByName = new TreeMap<>();
 
@@ -66,7 +69,39 @@
      * @param self the name, address and data centre of this gateway
      */
     FleetPeers(Member self) {
+        this(self, BridgeElection.INSTANCE);
+    }
+
+    /**
+     * Creates a fleet without other gateways.
+     *
+     * @param self the name, address and data centre of this gateway
+     * @param bridges elects the gateways that exchange digests with other data centres
+     */
+    FleetPeers(Member self, BridgeElection bridges) {
         this.self = self;
+        this.bridges = bridges;
+    }
+
+    /** Returns the time between two digest requests to seeds that are not live, in nanoseconds. */
+    long seedRequestInterval(long now) {
+        boolean alone = live(now).stream().allMatch(this::isLocal);
+        return alone ? DigestSchedule.REMOTE_DIGEST_INTERVAL_NANOSECONDS : bridges.seedRequestIntervalNanoseconds();
+    }
+
+    /** Returns whether this gateway exchanges digests with other data centres, and so knows which of them live. */
+    public boolean isBridge(long now) {
+        return bridges.isBridge(this, now);
+    }
+
+    /** Returns whether another gateway of this data centre exchanges digests with other ones. */
+    public boolean isBridge(FleetPeer peer, long now) {
+        return bridges.isBridge(this, peer.member().name(), now);
+    }
+
+    /** Returns the election of the gateways that exchange digests with other data centres. */
+    BridgeElection bridges() {
+        return bridges;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/ObservationOutbox.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/ObservationOutbox.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
@@ -36,9 +37,17 @@
     /** Whether an urgent observation for other data centres is pending. */
     private boolean urgentRemote;
 
+    /** Whether an observation is needed in other data centres. */
+    private Predicate<Observation> remoteFilter = observation -> true;
+
     /** The crashes that have not been sent yet. */
     private final List<Crash> crashes = new ArrayList<>();
 
+    /** Replaces the condition under which observations are kept for other data centres. */
+    void setRemoteFilter(Predicate<Observation> filter) {
+        remoteFilter = filter;
+    }
+
     /**
      * Adds an observation of this gateway, for the same and for other data centres.
      *
@@ -55,6 +64,9 @@
      * @param observation the observation
      */
     void addForRemote(Observation observation) {
+        if (!remoteFilter.test(observation)) {
+            return;
+        }
         merge(remote, observation);
         urgentRemote |= observation.kind().urgent();
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublicationSpread.java
@@ -101,7 +101,7 @@
         if (local || changes == null || changes.revision() <= forwardedRevision) {
             return;
         }
-        if (BridgeElection.INSTANCE.mustForward(peers) && RelayElection.INSTANCE.isRelay(peers, now)) {
+        if (peers.bridges().mustForward(peers) && RelayElection.INSTANCE.isRelay(peers, now)) {
             forwardedRevision = changes.revision();
             send(peers.liveLocal(now), changes, now, sink);
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/PublisherReads.java
@@ -194,7 +194,7 @@
                 publishedState.revision(),
                 poller.publisherReachable(),
                 (poller.inFlight() || pausing(now)) && poller.succeededRecently(now),
-                BridgeElection.INSTANCE.mustForward(peers)
+                peers.bridges().mustForward(peers)
                         ? publishedState.outageDetector().millisecondsSinceAnswer(now)
                         : poller.millisecondsSinceAnswer(now),
                 publishedState.retainedConfigurationRevision());
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/RequestLimitExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/RequestLimitExchange.java
@@ -108,7 +108,7 @@
         if (home.equals(own)) {
             return true;
         }
-        if (!BridgeElection.INSTANCE.isBridge(peers, now)) {
+        if (!peers.bridges().isBridge(peers, now)) {
             return false;
         }
         Set<String> others = new TreeSet<>();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/StandbyReaders.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/StandbyReaders.java
@@ -35,7 +35,8 @@
      * @return {@code true} if the readers before this one should have had an answer by now
      */
     boolean isDue(FleetPeers peers, long millisecondsSinceAnswer, long now) {
-        if (millisecondsSinceAnswer < FIRST_READ_MILLISECONDS || !BridgeElection.INSTANCE.isBridge(peers, now)) {
+        if (millisecondsSinceAnswer < FIRST_READ_MILLISECONDS
+                || !peers.bridges().isBridge(peers, now)) {
             return false;
         }
         int position = PublicationWatcherElection.INSTANCE.position(peers, now);
@@ -51,7 +52,7 @@
      * @return the readers, empty if this gateway is none
      */
     List<FleetPeer> others(FleetPeers peers, long now) {
-        boolean reader = BridgeElection.INSTANCE.isBridge(peers, now)
+        boolean reader = peers.bridges().isBridge(peers, now)
                 && PublicationWatcherElection.INSTANCE.position(peers, now) < READER_COUNT;
         if (!reader) {
             return List.of();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/FleetSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/FleetSettings.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
+import org.chivecourse.coordination.crossing.CrossingSettings;
 
 /**
  * The settings of a fleet whose gateways discover each other through seeds.
@@ -13,13 +14,15 @@
  * @param probeIntervalNanoseconds the time between two probes of a backend server from one data centre, in nanoseconds,
  *     zero for no probes
  * @param forwardingAddress the address at which this gateway takes calls of other gateways, empty if it takes none
+ * @param crossing how calls are kept in their data centre, {@code null} if they are not
  */
 public record FleetSettings(
         String address,
         List<String> seeds,
         @JsonProperty("repeats") RetryLimits retryLimits,
         @JsonProperty("probeNanoseconds") long probeIntervalNanoseconds,
-        @JsonInclude(JsonInclude.Include.NON_EMPTY) String forwardingAddress) {
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) String forwardingAddress,
+        @JsonInclude(JsonInclude.Include.NON_NULL) CrossingSettings crossing) {
 
     /** The settings of a gateway that does not discover others through seeds. */
     public static final FleetSettings NONE = new FleetSettings("", List.of(), RetryLimits.DEFAULT, 0);
@@ -43,6 +46,25 @@
         this(address, seeds, retryLimits, probeIntervalNanoseconds, "");
     }
 
+    /**
+     * Creates the settings of a gateway whose calls are not kept in their data centre.
+     *
+     * @param address the address at which this gateway listens for other gateways, empty if there is no such fleet
+     * @param seeds the addresses of some gateways of the fleet, which may be out of date
+     * @param retryLimits the retry budget of the fleet, which counts retries and hedges together
+     * @param probeIntervalNanoseconds the time between two probes of a backend server from one data centre, in
+     *     nanoseconds, zero for no probes
+     * @param forwardingAddress the address at which this gateway takes calls of other gateways, empty if it takes none
+     */
+    public FleetSettings(
+            String address,
+            List<String> seeds,
+            RetryLimits retryLimits,
+            long probeIntervalNanoseconds,
+            String forwardingAddress) {
+        this(address, seeds, retryLimits, probeIntervalNanoseconds, forwardingAddress, null);
+    }
+
     /** Returns whether gateways forward calls to each other. */
     public boolean forwards() {
         return !forwardingAddress.isEmpty();
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -102,6 +102,7 @@
                         .setFingerprint(fingerprint)
                         .setSeconds(seconds)));
         digest.limitReports().forEach(report -> message.addRequestLimits(encode(report, now)));
+        CrossingCodec.encode(digest, message, now);
         if (digest.changes() != null && digest.changes().differences().isEmpty()) {
             message.setChanges(PublicationCodec.encode(digest.changes()));
         } else if (digest.changes() != null) {
@@ -261,7 +262,9 @@
                 message.getFleetSize(),
                 message.getDataCentreSize(),
                 limitReports,
-                decodeForwardingAddress(message));
+                decodeForwardingAddress(message),
+                CrossingCodec.decodeRooms(message, now),
+                CrossingCodec.decodeWantedServices(message));
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -27,6 +27,8 @@
  * @param dataCentreSize the number of live gateways in the sender's data centre, including itself
  * @param limitReports what the sender knows of request limits of backend servers
  * @param forwardingAddress the address at which the sender takes calls of other gateways, empty if it takes none now
+ * @param rooms the room of the sender's data centre, in digests to other ones
+ * @param wantedServices the services of which the sender's data centre needs the loads of backend servers elsewhere
  */
 public record FleetDigest(
         Member sender,
@@ -44,7 +46,9 @@
         int fleetSize,
         int dataCentreSize,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<LimitReport> limitReports,
-        @JsonInclude(JsonInclude.Include.NON_EMPTY) String forwardingAddress) {
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) String forwardingAddress,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Room> rooms,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<String> wantedServices) {
 
     /** Creates a digest with copies of the collections. */
     public FleetDigest {
@@ -55,6 +59,76 @@
         blockedRequests = Map.copyOf(blockedRequests);
         forwardingAddress = forwardingAddress == null ? "" : forwardingAddress;
         limitReports = limitReports == null ? List.of() : List.copyOf(limitReports);
+        rooms = rooms == null ? List.of() : List.copyOf(rooms);
+        wantedServices = wantedServices == null ? List.of() : List.copyOf(wantedServices);
+    }
+
+    /** Creates a digest that says nothing of the room and the needs of data centres. */
+    public FleetDigest(
+            Member sender,
+            long incarnation,
+            long sequence,
+            boolean stopping,
+            boolean replyRequested,
+            PublisherStatus publisherStatus,
+            List<Member> members,
+            List<Observation> observations,
+            List<Crash> crashes,
+            List<AnsweredRequest> answeredRequests,
+            Map<Long, Integer> blockedRequests,
+            Changes changes,
+            int fleetSize,
+            int dataCentreSize,
+            List<LimitReport> limitReports,
+            String forwardingAddress) {
+        this(
+                sender,
+                incarnation,
+                sequence,
+                stopping,
+                replyRequested,
+                publisherStatus,
+                members,
+                observations,
+                crashes,
+                answeredRequests,
+                blockedRequests,
+                changes,
+                fleetSize,
+                dataCentreSize,
+                limitReports,
+                forwardingAddress,
+                List.of(),
+                List.of());
+    }
+
+    /**
+     * Returns the same digest with what it says of data centres.
+     *
+     * @param ownRooms the room of the sender's data centre
+     * @param wanted the services of which the sender's data centre needs the loads of backend servers elsewhere
+     * @return the digest
+     */
+    public FleetDigest withCrossings(List<Room> ownRooms, List<String> wanted) {
+        return new FleetDigest(
+                sender,
+                incarnation,
+                sequence,
+                stopping,
+                replyRequested,
+                publisherStatus,
+                members,
+                observations,
+                crashes,
+                answeredRequests,
+                blockedRequests,
+                changes,
+                fleetSize,
+                dataCentreSize,
+                limitReports,
+                forwardingAddress,
+                ownRooms,
+                wanted);
     }
 
     /**
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -12,6 +12,7 @@
 import java.util.function.LongConsumer;
 import java.util.stream.IntStream;
 import org.chivecourse.configuration.model.Method;
+import org.chivecourse.coordination.crossing.CrossingSettings;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Arrival;
 import org.chivecourse.coordination.event.Event;
@@ -98,10 +99,18 @@
     /** The number of those that were refused later than allowed. */
     int refusedLate;
 
+    /** The number of requests that backend servers got from gateways of other data centres. */
+    int crossed;
+
     BackendSimulation(int gateways, int serverCount, long seed) {
+        this(gateways, serverCount, seed, null);
+    }
+
+    /** Creates a simulation whose gateways keep calls in their data centre if the settings say how. */
+    BackendSimulation(int gateways, int serverCount, long seed, CrossingSettings crossing) {
         this.gateways = gateways;
         random = new SplittableRandom(seed);
-        network = new FleetNetwork(gateways, true);
+        network = new FleetNetwork(gateways, crossing);
         forwarding = new SimulatedForwarding(network);
         network.setListener(this::perform);
         for (int number = 0; number < serverCount; number++) {
@@ -436,6 +445,7 @@
                 && disturbedUntil.getOrDefault(host, 0L) <= milliseconds()
                 && milliseconds() - server.limitedSince >= ADAPTATION_MILLISECONDS;
         server.receive(new SimulatedBackendServer.Request(milliseconds(), counted));
+        crossed += dataCentreOf(host) == dataCentreOf(send.address()) ? 0 : 1;
         long arrivedAt = arrivals.get(new HostNumber(host, send.call()));
         boolean toldInTime =
                 arrivedAt - server.toldLeavingAt.getOrDefault(host, Long.MAX_VALUE / 2) > DRAIN_MILLISECONDS;
@@ -473,6 +483,10 @@
         network.scheduleEvent(host, new Event.AnswerStarted(attempt, head), 1);
     }
 
+    private static int dataCentreOf(String name) {
+        return Integer.parseInt(name.replaceAll("\\D", "")) % 3;
+    }
+
     private void later(long delayMilliseconds, Runnable action) {
         timers.schedule(milliseconds() + delayMilliseconds, action);
     }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/FleetNetwork.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.crossing.CrossingSettings;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.FleetSettings;
@@ -58,6 +59,8 @@
 
     private final boolean forwarding;
 
+    private final CrossingSettings crossing;
+
     private final FleetLinks links;
 
     private final PublicationDecoder decoder;
@@ -89,6 +92,11 @@
         this(hosts, forwarding, UnlimitedLinks.INSTANCE, new TextDecoder(), List.of(configuration(1, 1)));
     }
 
+    /** Creates a fleet that forwards calls, and keeps them in their data centre if the settings say how. */
+    FleetNetwork(int hosts, CrossingSettings crossing) {
+        this(hosts, true, UnlimitedLinks.INSTANCE, new TextDecoder(), List.of(configuration(1, 1)), crossing);
+    }
+
     /** Creates a fleet with its links, and what is published when it starts. */
     FleetNetwork(
             int hosts,
@@ -96,6 +104,17 @@
             FleetLinks links,
             PublicationDecoder decoder,
             List<PublishedItem> published) {
+        this(hosts, forwarding, links, decoder, published, null);
+    }
+
+    private FleetNetwork(
+            int hosts,
+            boolean forwarding,
+            FleetLinks links,
+            PublicationDecoder decoder,
+            List<PublishedItem> published,
+            CrossingSettings crossing) {
+        this.crossing = crossing;
         this.forwarding = forwarding;
         this.links = links;
         this.decoder = decoder;
@@ -140,7 +159,8 @@
                 seeds,
                 FleetSettings.RetryLimits.DEFAULT,
                 100 * NANOSECONDS_PER_MILLISECOND,
-                forwarding ? internetAddress(number) + ":7100" : "");
+                forwarding ? internetAddress(number) + ":7100" : "",
+                crossing);
         HostSettings settings = new HostSettings(
                 name,
                 "dc-" + number % links.dataCentres(),
--- a/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/protocol/peer/FleetCodecTest.java
@@ -20,6 +20,7 @@
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
 import org.chivecourse.state.fleet.ObservationKind;
+import org.chivecourse.state.fleet.Room;
 import org.chivecourse.state.publication.PublicationRevision;
 import org.chivecourse.state.publication.PublishedItem;
 import org.chivecourse.state.server.LoadReport;
@@ -144,6 +145,14 @@
         assertThat(decoded.revision() < PublicationRevision.of(1, 1), equalTo(true));
     }
 
+    @Test
+    void decodesRoomsAndNeeds() throws Exception {
+        long observedAt = NOW_NANOSECONDS - 30 * NANOSECONDS_PER_MILLISECOND;
+        FleetDigest digest = digest(1, List.of(), null)
+                .withCrossings(List.of(new Room("jobs", 40, 31, 7, observedAt)), List.of("jobs", "users"));
+        assertThat(decode(codec.encode(digest, NOW_NANOSECONDS), NOW_NANOSECONDS), equalTo(digest));
+    }
+
     @Test
     void encodesAgeOfObservationInsteadOfTime() throws Exception {
         Observation observation = new Observation(
@@ -168,6 +177,21 @@
         int bytesWithObservations = codec.encode(digest(2, observations, null), NOW_NANOSECONDS).length;
         int bytesWithMembers = codec.encode(digest(16, List.of(), null), NOW_NANOSECONDS).length;
         int bytesWithLimits = codec.encode(digest(2, 3, 6, observations.subList(0, 12), null), NOW_NANOSECONDS).length;
+        List<Room> rooms = new ArrayList<>();
+        for (int number = 0; number < 16; number++) {
+            rooms.add(new Room("service-with-a-name-" + number, 4000, 3000, 20_000, 0));
+        }
+        List<String> wanted = List.of("w".repeat(120));
+        FleetDigest withRooms = digest(2, 0, 0, List.of(), null).withCrossings(rooms, wanted);
+        int bytesWithRooms = codec.encode(withRooms, NOW_NANOSECONDS).length;
+        FleetDigest withWanted =
+                digest(2, 3, 6, observations.subList(0, 12), null).withCrossings(List.of(), wanted);
+        int bytesWithWanted = codec.encode(withWanted, NOW_NANOSECONDS).length;
+        FleetDigest withObservations = digest(2, observations, null).withCrossings(List.of(), wanted);
+        int bytesWithBoth = codec.encode(withObservations, NOW_NANOSECONDS).length;
+        assertThat(bytesWithRooms, lessThanOrEqualTo(PeerCodec.MAXIMUM_DATAGRAM_BYTES));
+        assertThat(bytesWithWanted, lessThanOrEqualTo(PeerCodec.MAXIMUM_DATAGRAM_BYTES));
+        assertThat(bytesWithBoth, lessThanOrEqualTo(PeerCodec.MAXIMUM_DATAGRAM_BYTES));
         int bytesWithSuspicions = codec.encode(digest(2, 8, 6, List.of(), null), NOW_NANOSECONDS).length;
         assertThat(bytesWithSuspicions, lessThanOrEqualTo(PeerCodec.MAXIMUM_DATAGRAM_BYTES));
         assertThat(bytesWithObservations, lessThanOrEqualTo(PeerCodec.MAXIMUM_DATAGRAM_BYTES));
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/SettingsTranslation.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/SettingsTranslation.java
@@ -35,7 +35,8 @@
                         settings.fleet().seeds(),
                         settings.fleet().retryBudget(),
                         settings.fleet().probeInterval().toNanos(),
-                        settings.fleet().forwardingAddress());
+                        settings.fleet().forwardingAddress(),
+                        settings.fleet().crossing());
         return new HostSettings(
                 settings.name(),
                 settings.dataCentre(),
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
@@ -7,6 +7,7 @@
 import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.call.ServiceState;
 import org.chivecourse.coordination.configuration.ConfigurationRegistry;
+import org.chivecourse.coordination.crossing.ServiceCrossing;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.membership.Membership;
 import org.chivecourse.coordination.publication.PublishedState;
@@ -127,6 +128,9 @@
         node.put(
                 "probes-per-second-allowed",
                 service.probeBudget().probesPerSecond(service.service().measuring(), service.slots()));
+        if (service.crossing() != null) {
+            addCrossing(node.putObject("crossing"), service.crossing(), now);
+        }
         ArrayNode servers = node.putArray("backend-servers");
         for (ServerState server : service.servers()) {
             ObjectNode entry = servers.addObject();
@@ -140,6 +144,18 @@
         }
     }
 
+    /** Adds whether calls of a service leave their data centre, and what others take. */
+    private static void addCrossing(ObjectNode node, ServiceCrossing crossing, long now) {
+        node.put("leaving", crossing.needed(now));
+        node.put("left", crossing.left());
+        crossing.rooms(now)
+                .forEach((dataCentre, room) -> node.putObject(dataCentre)
+                        .put("slots", room.slots())
+                        .put("in-flight", room.inFlight())
+                        .put("spare-per-second", room.spareRequestsPerSecond())
+                        .put("age-milliseconds", (now - room.observedAt()) / NANOSECONDS_PER_MILLISECOND));
+    }
+
     /**
      * Adds what was exchanged with other data centres since the start.
      *
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetSettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/FleetSettingsReader.java
@@ -6,6 +6,7 @@
 import org.chivecourse.configuration.document.DocumentException;
 import org.chivecourse.configuration.document.MappingReader;
 import org.chivecourse.configuration.rule.Address;
+import org.chivecourse.coordination.crossing.CrossingSettings;
 import org.chivecourse.coordination.host.FleetSettings.RetryLimits;
 import org.chivecourse.gateway.settings.GatewaySettings.Fleet;
 
@@ -21,6 +22,9 @@
     /** The maximum of the retry budget's window, in seconds. */
     private static final int MAXIMUM_WINDOW_SECONDS = 3_600_000;
 
+    /** The maximum time that a caller may wait for each kilobyte that does not cross, in milliseconds. */
+    private static final double MAXIMUM_CROSSING_MILLISECONDS_PER_KILOBYTE = 1000;
+
     /** The number of nanoseconds in a second. */
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
@@ -51,11 +55,26 @@
                 reader.has("repeats") ? readRetryBudget(reader.mapping("repeats")) : RetryLimits.DEFAULT,
                 readMilliseconds(reader, "probe-interval-milliseconds", DEFAULT_PROBE_INTERVAL_MILLISECONDS),
                 readMilliseconds(reader, "connect-timeout-milliseconds", DEFAULT_CONNECT_TIMEOUT_MILLISECONDS),
-                readForwardingAddress(reader));
+                readForwardingAddress(reader),
+                reader.has("crossing") ? readCrossing(reader.mapping("crossing")) : null);
         reader.rejectUnknownKeys();
         return fleet;
     }
 
+    /**
+     * Reads what keeps calls in their data centre. Without a weight, time alone decides.
+     *
+     * @param reader the reader of the mapping {@code crossing}
+     * @return the settings
+     * @throws DocumentException if a value is not allowed
+     */
+    private static CrossingSettings readCrossing(MappingReader reader) throws DocumentException {
+        CrossingSettings crossing = new CrossingSettings(
+                reader.number("milliseconds-per-kilobyte", 0, MAXIMUM_CROSSING_MILLISECONDS_PER_KILOBYTE, 0));
+        reader.rejectUnknownKeys();
+        return crossing;
+    }
+
     /**
      * Reads the address at which other gateways forward requests.
      *
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.chivecourse.coordination.choice.ChoicePolicy;
+import org.chivecourse.coordination.crossing.CrossingSettings;
 import org.chivecourse.coordination.host.FleetSettings.RetryLimits;
 import org.chivecourse.coordination.host.HostSettings.KeyLimits;
 import org.chivecourse.transport.http.HttpSettings;
@@ -109,6 +110,7 @@
      * @param connectTimeout the timeout for opening a connection
      * @param forwardingAddress the IP address and the port at which other gateways forward requests, empty if they may
      *     not
+     * @param crossing how calls are kept in their data centre, {@code null} if they are not
      */
     public record Fleet(
             String publisher,
@@ -116,7 +118,8 @@
             RetryLimits retryBudget,
             Duration probeInterval,
             Duration connectTimeout,
-            String forwardingAddress) {
+            String forwardingAddress,
+            CrossingSettings crossing) {
 
         /** Creates a fleet with a copy of the seeds. */
         public Fleet {
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.regex.Pattern;
 import org.chivecourse.configuration.document.DocumentException;
+import org.chivecourse.coordination.crossing.CrossingSettings;
 import org.chivecourse.coordination.host.FleetSettings.RetryLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -52,6 +53,19 @@
                 equalTo(new RetryLimits(0.2, 21, 7_500_000_000L)));
     }
 
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {"{milliseconds-per-kilobyte: 2.5} | 2.5", "{} | 0"})
+    void readsWhatKeepsCallsInTheirDataCentre(String crossing, double millisecondsPerKilobyte) throws Exception {
+        String settings = "name: entry-1\ndata-centre: si-a\ncallers: {address: \"127.0.0.1:8080\"}\n"
+                + "operators: {address: \"127.0.0.1:8081\"}\npeers: {address: \"127.0.0.1:8082\"}\n"
+                + "fleet: {publisher: \"127.0.0.1:7000\", seeds: [], crossing: " + crossing + "}\n";
+        assertThat(
+                GatewaySettingsReader.read("fleet", settings).fleet().crossing(),
+                equalTo(new CrossingSettings(millisecondsPerKilobyte)));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
