Let only bridges probe servers of data centres without gateways

Cause: a gateway that isn't a bridge gets no digests from other data centres, took them for abandoned, and probed its part of their servers whenever no fresh load was relayed.

Change: servers of data centres without live gateways are divided among the bridges.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/measure/AssignedProbes.java
@@ -184,9 +184,12 @@
      * Assigns to this gateway the backend servers for which it ranks first among the live gateways of its data centre.
      * Those that take no calls of others have lost their links, and do not count.
      * The ranking differs from one backend server to the next, so that the gateways share the work without agreement.
+     * Backend servers of data centres without live gateways are divided among the bridges, since other gateways get no
+     * digests from elsewhere.
      */
     private void assign(long now) {
         List<String> others = new ArrayList<>();
+        List<String> otherBridges = new ArrayList<>();
         Set<String> dataCentres = new HashSet<>();
         dataCentres.add(settings.dataCentre());
         for (FleetPeer peer : peers.live(now)) {
@@ -197,15 +200,22 @@
             dataCentres.add(peer.member().dataCentre());
             if (peer.member().dataCentre().equals(settings.dataCentre())) {
                 others.add(peer.member().name());
+                if (peers.isBridge(peer, now)) {
+                    otherBridges.add(peer.member().name());
+                }
             }
         }
+        boolean bridge = peers.isBridge(now);
         List<Assignment> own = new ArrayList<>();
         for (ServiceState service : services.all()) {
             String path = service.service().discovery().healthPath();
             for (ServerState server : service.servers()) {
-                boolean local =
-                        server.local() || !dataCentres.contains(server.server().dataCentre());
-                if (local && server.server().announced() && ranksFirst(server.identity(), others)) {
+                boolean abandoned =
+                        bridge && !dataCentres.contains(server.server().dataCentre());
+                boolean first = server.local()
+                        ? ranksFirst(server.identity(), others)
+                        : abandoned && ranksFirst(server.identity(), otherBridges);
+                if (first && server.server().announced()) {
                     own.add(new Assignment(server, path));
                 }
             }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LargeFleetTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/LargeFleetTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -111,6 +112,44 @@
         }
     }
 
+    /** Returns the number of probes of servers of one data centre that gateways of others send in two seconds. */
+    private static int probesFromElsewhere(FleetNetwork network, int dataCentre) {
+        network.clearDecisions();
+        network.advance(2000);
+        int probes = 0;
+        for (int number = 0; number < HOSTS; number++) {
+            for (Decision decision : network.decisions(number)) {
+                probes += decision instanceof Decision.Probe probe
+                                && probe.address().endsWith("-" + dataCentre)
+                                && number % DATA_CENTRES != dataCentre
+                        ? 1
+                        : 0;
+            }
+        }
+        return probes;
+    }
+
+    @Test
+    void serversAreProbedFromElsewhereOnlyWhileTheirDataCentreHasNoGateway() {
+        FleetNetwork network = new FleetNetwork(
+                HOSTS,
+                false,
+                new SpreadLinks(DATA_CENTRES),
+                new TextDecoder(),
+                List.of(FleetNetwork.configuration(1, 1)));
+        for (int server = 0; server < 4 * DATA_CENTRES; server++) {
+            int dataCentre = server % DATA_CENTRES;
+            network.publish(TextDecoder.server("i" + server + "-" + dataCentre, 0, "ready", "dc-" + dataCentre));
+        }
+        network.advance(6000);
+        assertThat(probesFromElsewhere(network, 0), equalTo(0));
+        for (int number = 0; number < HOSTS; number += DATA_CENTRES) {
+            network.kill(number);
+        }
+        network.advance(6000);
+        assertThat(probesFromElsewhere(network, 0), greaterThan(0));
+    }
+
     @Test
     void everyGatewayKnowsFleetSize() {
         FleetNetwork network = startedFleet(HOSTS);
