Say less in the digests of bridges where bytes are dear

Cause: with three bridges digests were still the second largest cause of bytes between data centres (0.71 MB of 2.78): each bridge repeated all known crashes and answers to suspected requests to each of the others each second. Relays of loads each 20 ms were the largest (0.93 MB).

Change: of few bridges only the relay repeats suspicions to other data centres; others learn of them by the datagram at their time and by local digests. Loads go each 50 ms to those that ask.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
@@ -23,7 +23,7 @@
 final class CrossingExchange {
 
     /** The shortest time between two relays of single loads, in nanoseconds. */
-    private static final long LOAD_INTERVAL_NANOSECONDS = 20_000_000L;
+    private static final long LOAD_INTERVAL_NANOSECONDS = 50_000_000L;
 
     /** The maximum number of rooms in a digest. */
     private static final int MAXIMUM_ROOMS = 16;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
@@ -198,10 +198,12 @@
          *
          * @param limitReports what this gateway knows of request limits of backend servers
          * @param members the number of other gateways to name
+         * @param repeating whether known crashes and answers to suspected requests are repeated
          * @return the content
          */
-        static Content remote(List<LimitReport> limitReports, int members) {
-            return new Content(false, members, List.of(), List.of(), MAXIMUM_SUSPICIONS, limitReports, null);
+        static Content remote(List<LimitReport> limitReports, int members, boolean repeating) {
+            return new Content(
+                    false, members, List.of(), List.of(), repeating ? MAXIMUM_SUSPICIONS : 0, limitReports, null);
         }
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -308,7 +308,8 @@
             return;
         }
         FleetDigest digest = composer.compose(
-                Content.remote(requestLimits.next(now), peers.bridges().namedMembers()), now);
+                Content.remote(requestLimits.next(now), peers.bridges().namedMembers(), peers.repeatsSuspicions(now)),
+                now);
         if (CrossingExchange.hasSpaceIn(digest)) {
             send(due, crossings.completeRemote(digest, now), now, sink);
             return;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetPeers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetPeers.java
@@ -83,6 +83,11 @@
         this.bridges = bridges;
     }
 
+    /** Returns whether this bridge repeats what is known of suspected requests to other data centres. */
+    boolean repeatsSuspicions(long now) {
+        return bridges == BridgeElection.INSTANCE || RelayElection.INSTANCE.isRelay(this, now);
+    }
+
     /** Returns the time between two digest requests to seeds that are not live, in nanoseconds. */
     long seedRequestInterval(long now) {
         boolean alone = live(now).stream().allMatch(this::isLocal);
