--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CrashDetector.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
-import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.DecisionSink;
 import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Decision.java
@@ -323,6 +323,9 @@
         REQUEST_CONVICTED,
 
         /** Whether a backend server is cold. */
-        SERVER_COLD
+        SERVER_COLD,
+
+        /** Whether calls of a service have a reason to leave their data centre. */
+        CROSSING
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
@@ -204,19 +204,21 @@
         }
 
         /**
-         * Creates the content of a regular digest to another data centre, which names {@link #REGULAR_DIGEST_MEMBERS}
-         * other gateways and repeats known crashes and answers to suspected requests.
+         * Creates the content of a regular digest to another data centre, which names other gateways
+         * and repeats known crashes and answers to suspected requests.
          *
          * @param limitReports what this gateway knows of request limits of backend servers
+         * @param members the number of other gateways to name
+         * @param repeating whether known crashes and answers to suspected requests are repeated
          * @return the content
          */
-        static Content remote(List<LimitReport> limitReports) {
+        static Content remote(List<LimitReport> limitReports, int members, boolean repeating) {
             return new Content(
                     false,
-                    REGULAR_DIGEST_MEMBERS,
+                    members,
                     List.of(),
                     List.of(),
-                    MAXIMUM_SUSPICIONS,
+                    repeating ? MAXIMUM_SUSPICIONS : 0,
                     limitReports,
                     List.of(),
                     null);
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/FleetExchange.java
@@ -8,11 +8,8 @@
 import org.chivecourse.coordination.fleet.DigestComposer.Content;
 import org.chivecourse.coordination.forward.ForwardingPeers;
 import org.chivecourse.coordination.host.HostSettings;
-import org.chivecourse.coordination.poison.CrashFinding;
 import org.chivecourse.coordination.poison.PoisonRequests;
 import org.chivecourse.coordination.publication.PublishedState;
-import org.chivecourse.state.fleet.AnsweredRequest;
-import org.chivecourse.state.fleet.Crash;
 import org.chivecourse.state.fleet.FleetDigest;
 import org.chivecourse.state.fleet.Member;
 import org.chivecourse.state.fleet.Observation;
@@ -63,9 +60,6 @@
     /** The request limits of backend servers. */
     private final RequestLimitExchange requestLimits;
 
-    /** The requests that other gateways report as blocked. */
-    private final ReportedBlocks reportedBlocks;
-
     /** The warm-ups of backend servers. */
     private final WarmUpExchange warmUps;
 
@@ -78,8 +72,11 @@
     /** The services of the configuration in force. */
     private final ServiceRegistry services;
 
-    /** The requests that are suspected or blocked because backend servers crashed on them. */
-    private final PoisonRequests poisonRequests;
+    /** Applies what other gateways report of suspected requests. */
+    private final SuspicionReports suspicions;
+
+    /** What data centres tell each other of their room and needs. */
+    private final CrossingExchange crossings;
 
     /** The time of the first event, in nanoseconds. */
     private long startedAt;
@@ -114,17 +111,20 @@
         this.settings = settings;
         this.publishedState = publishedState;
         this.services = services;
-        this.poisonRequests = poisonRequests;
+        suspicions = new SuspicionReports(services, poisonRequests);
         this.forwardingPeers = forwardingPeers;
-        peers = new FleetPeers(new Member(settings.name(), settings.fleet().address(), settings.dataCentre()));
+        boolean keepsCallsNearby = settings.fleet().crossing() != null;
+        peers = new FleetPeers(
+                new Member(settings.name(), settings.fleet().address(), settings.dataCentre()),
+                keepsCallsNearby ? BridgeElection.FEW : BridgeElection.INSTANCE);
+        crossings = new CrossingExchange(peers, services, keepsCallsNearby);
         publisherReads = new PublisherReads(peers, publishedState);
         requestLimits = new RequestLimitExchange(peers, services);
-        reportedBlocks = new ReportedBlocks(poisonRequests, services);
         warmUps = new WarmUpExchange(peers, services, this::hasOtherSeeds);
         composer = new DigestComposer(settings, peers, poisonRequests);
         spread = new PublicationSpread(peers, publishedState, this::composeDigest);
         schedule = new DigestSchedule(
-                settings, peers, services.observations(), requestLimits, warmUps, this::composeDigest);
+                settings, peers, services.observations(), requestLimits, warmUps, crossings, this::composeDigest);
     }
 
     /**
@@ -166,6 +166,7 @@
         }
         requestLimits.assignSenders(now);
         warmUps.assignSenders(now);
+        crossings.auditNeeds(now, sink);
         if (forwardingPeers.update(peers.live(now), now)) {
             sink.decide(new Decision.UseServers(services.backendServers()));
         }
@@ -233,22 +234,8 @@
         }
         requestLimits.apply(digest, now, sink);
         warmUps.apply(digest, local);
-        for (AnsweredRequest answered : digest.answeredRequests()) {
-            if (poisonRequests.recordAnswer(answered.fingerprint(), answered.answeredAt(), now)) {
-                String cause = "answer known from " + sender.member().name();
-                CrashFinding.CLEARED.audit(answered.fingerprint(), cause, revision(), sink);
-            }
-        }
-        for (Crash crash : digest.crashes()) {
-            CrashFinding finding = poisonRequests.recordCrash(crash, now);
-            finding.audit(crash, sender.member().name(), revision(), sink);
-        }
-        reportedBlocks.apply(digest, now, sink);
-    }
-
-    /** Returns the revision of the configuration in force. */
-    private long revision() {
-        return services.configuration().revision();
+        crossings.receive(digest, local, now);
+        suspicions.apply(digest, now, sink);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/FleetCodec.java
@@ -105,6 +105,7 @@
                         .setSeconds(seconds)));
         digest.limitReports().forEach(report -> message.addRequestLimits(encode(report, now)));
         digest.warmUps().forEach(report -> message.addWarmUps(WarmUpCodec.encode(report, now)));
+        CrossingCodec.encode(digest, message, now);
         if (digest.changes() != null && digest.changes().differences().isEmpty()) {
             message.setChanges(PublicationCodec.encode(digest.changes()));
         } else if (digest.changes() != null) {
@@ -269,7 +270,9 @@
                 message.getDataCentreSize(),
                 limitReports,
                 warmUps,
-                decodeForwardingAddress(message));
+                decodeForwardingAddress(message),
+                CrossingCodec.decodeRooms(message, now),
+                CrossingCodec.decodeWantedServices(message));
     }
 
     /**
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/StatusPrinter.java
@@ -7,6 +7,7 @@
 import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.call.ServiceState;
 import org.chivecourse.coordination.configuration.ConfigurationRegistry;
+import org.chivecourse.coordination.crossing.ServiceCrossing;
 import org.chivecourse.coordination.evacuation.Evacuation;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.membership.Membership;
@@ -16,6 +17,7 @@
 import org.chivecourse.state.publication.PublicationRevision;
 import org.chivecourse.state.server.ServerState;
 import org.chivecourse.state.server.ServerWarmUp;
+import org.chivecourse.transport.crossing.CrossingMetrics;
 
 /** Builds the status document of a gateway. */
 public final class StatusPrinter {
@@ -163,6 +165,9 @@
         node.put(
                 "probes-per-second-allowed",
                 service.probeBudget().probesPerSecond(service.service().measuring(), service.slots()));
+        if (service.crossing() != null) {
+            addCrossing(node.putObject("crossing"), service.crossing(), now);
+        }
         ArrayNode servers = node.putArray("backend-servers");
         for (ServerState server : service.servers()) {
             ObjectNode entry = servers.addObject();
@@ -182,6 +187,32 @@
         }
     }
 
+    /** Adds whether calls of a service leave their data centre, and what others take. */
+    private static void addCrossing(ObjectNode node, ServiceCrossing crossing, long now) {
+        node.put("leaving", crossing.needed(now));
+        node.put("left", crossing.left());
+        crossing.rooms(now)
+                .forEach((dataCentre, room) -> node.putObject(dataCentre)
+                        .put("slots", room.slots())
+                        .put("in-flight", room.inFlight())
+                        .put("spare-per-second", room.spareRequestsPerSecond())
+                        .put("age-milliseconds", (now - room.observedAt()) / NANOSECONDS_PER_MILLISECOND));
+    }
+
+    /**
+     * Adds what was exchanged with other data centres since the start.
+     *
+     * @param node receives the members
+     * @param crossings counts the bytes by cause
+     */
+    public static void addCrossings(ObjectNode node, CrossingMetrics crossings) {
+        node.put("connections", crossings.connections());
+        crossings
+                .bytes()
+                .forEach((cause, bytes) ->
+                        node.putObject(cause).put("bytes-sent", bytes.sent()).put("bytes-received", bytes.received()));
+    }
+
     /**
      * Adds a recorded change.
      *
