Count no debt of requests to a data centre whose loads are known

Cause: requests that are sent because a server's own load is known were charged to the rate that its data centre stated as well, so that none was left when the loads went missing.

Change: the share of a rate doesn't fall below zero.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/crossing/ForeignRoom.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/crossing/ForeignRoom.java
@@ -69,8 +69,8 @@
         return perSecond > 0 && permitted >= 1;
     }
 
-    /** Records a request that was sent. */
+    /** Records a request that was sent, on a statement or because the load of the server itself was known. */
     void recordRequest() {
-        permitted--;
+        permitted = Math.max(0, permitted - 1);
     }
 }
