Leave a quarter of a narrow link to small requests while large bodies pass

Cause: nothing weighed a body's bytes. On a host with a link of 7 to 140 Mbit/s a few bodies of 60 to 360 kB side by side took the whole link, and small requests and answers waited behind them; a body was begun even when those under way left it no time.

Change: LinkShare decides, without a network: the parts of a body beyond its first 64 kB, in either direction, take three quarters of the link together, and a streamed request that could not be transferred within the time that its caller grants is refused at once (LINK_BUSY, not run), with the time that the others still take as Retry-After. Gauge calls.large-body-bytes.

Left: bytes in flight for each backend server. Neither its entry nor its health answers state its memory.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -17,6 +17,9 @@
     /** The request's body exceeds the configured limit. */
     BODY_TOO_LARGE(413, "the request's body is too large"),
 
+    /** The large bodies that are being transferred leave no time for the request's on the host's link. */
+    LINK_BUSY(503, "large bodies take the gateway's link for longer than the request has"),
+
     /** No service matches the path. */
     NO_SERVICE(404, "no service of this path"),
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -14,6 +15,7 @@
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.Outcome;
 import org.chivecourse.coordination.decision.Reason;
+import org.chivecourse.coordination.transfer.LinkShare;
 import org.chivecourse.protocol.http.BadRequestException;
 import org.chivecourse.protocol.http.RequestFraming;
 import org.chivecourse.transport.driver.CoreDriver;
@@ -261,14 +263,34 @@
         try {
             CallerRequest callerRequest = CallerRequest.read(
                     request, method, refusalSignals, registry.dialect(), body, settings.maximumBodyBytes(), source);
-            return new CallerExchange(
-                            driver.nextCallIdentifier(), callerRequest, response, driver, registry, () -> stopping)
-                    .serve();
+            CallerExchange exchange = new CallerExchange(
+                    driver.nextCallIdentifier(), callerRequest, response, driver, registry, () -> stopping);
+            return body == null ? serveStreamed(callerRequest, response, exchange) : exchange.serve();
         } catch (BadRequestException exception) {
             return refuse(response, Reason.BAD_REQUEST);
         }
     }
 
+    /**
+     * Serves a request with a streamed body, or refuses it at once if the bodies that are under way leave its link no
+     * time for it.
+     *
+     * @param request the request
+     * @param response the answer
+     * @param exchange the exchange of the request
+     * @return completes when the answer is written
+     */
+    private Mono<Void> serveStreamed(CallerRequest request, HttpServerResponse response, CallerExchange exchange) {
+        LinkShare link = registry.memory().link();
+        long bytes = request.chunked() ? LinkShare.UNCOUNTED_BYTES : request.statedBodyBytes();
+        if (!link.begin(bytes, request.arrival().remainingNanoseconds())) {
+            long delay = TimeUnit.NANOSECONDS.toMillis(link.backlogNanoseconds());
+            registry.metrics().recordRefusal(Outcome.NOT_RUN);
+            return refuse(response, Reason.LINK_BUSY, Math.max(1, delay));
+        }
+        return exchange.serve().doFinally(signal -> link.end(bytes));
+    }
+
     /**
      * Refuses a request before it becomes a call, and closes the connection after the answer.
      *
@@ -277,11 +299,22 @@
      * @return completes when the answer is written
      */
     private Mono<Void> refuse(HttpServerResponse response, Reason reason) {
+        return refuse(response, reason, reason == Reason.STOPPING ? STOPPING_RETRY_AFTER_MILLISECONDS : 0);
+    }
+
+    /**
+     * Refuses a request before it becomes a call, and closes the connection after the answer.
+     *
+     * @param response the answer
+     * @param reason the reason for the refusal
+     * @param retryAfterMilliseconds the time after which the caller may return, zero if it is not stated
+     * @return completes when the answer is written
+     */
+    private Mono<Void> refuse(HttpServerResponse response, Reason reason, long retryAfterMilliseconds) {
         response.keepAlive(false);
         return CallerExchange.writeRefusal(
                 response,
-                new Decision.Refusal(
-                        Outcome.NOT_RUN, reason, reason == Reason.STOPPING ? STOPPING_RETRY_AFTER_MILLISECONDS : 0),
+                new Decision.Refusal(Outcome.NOT_RUN, reason, retryAfterMilliseconds),
                 false,
                 registry.dialect());
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
@@ -212,6 +212,12 @@
         return previousAddresses == null ? caller : previousAddresses + ", " + caller;
     }
 
+    /** Returns the size that the request states for its body, zero if it states none. */
+    long statedBodyBytes() {
+        String length = request.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
+        return length == null ? 0 : Long.parseLong(length);
+    }
+
     /**
      * Returns the body of a streamed request.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMemory.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMemory.java
@@ -2,15 +2,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import org.chivecourse.coordination.transfer.LinkShare;
 import reactor.core.publisher.Flux;
 
 /**
- * The memory that exchanges may hold together, whatever callers and backend servers do.
+ * The memory and the share of the link that exchanges may take together, whatever callers and backend servers do.
  *
  * @param buffers the memory of the bodies that are kept whole
  * @param stalledTransfers the bodies whose recipient does not read
+ * @param link the share of the link that large bodies have
  */
-public record ExchangeMemory(BufferBudget buffers, StalledTransfers stalledTransfers) {
+public record ExchangeMemory(BufferBudget buffers, StalledTransfers stalledTransfers, LinkShare link) {
 
     /** The part of the memory that the process was given for each of the two: a quarter. */
     private static final int PARTS = 4;
@@ -19,12 +21,13 @@
      * Returns the memory of a process.
      *
      * @param maximumBytes the memory that the process was given, in bytes
+     * @param link the share of the link that large bodies have
      * @param metrics records transfers that were ended
      * @return the memory that its exchanges may hold
      */
-    public static ExchangeMemory ofProcess(long maximumBytes, ExchangeMetrics metrics) {
+    public static ExchangeMemory ofProcess(long maximumBytes, LinkShare link, ExchangeMetrics metrics) {
         return new ExchangeMemory(
-                new BufferBudget(maximumBytes / PARTS), new StalledTransfers(maximumBytes / PARTS, metrics));
+                new BufferBudget(maximumBytes / PARTS), new StalledTransfers(maximumBytes / PARTS, metrics), link);
     }
 
     /** Returns the number of bytes that are held now, which metrics report. */
@@ -41,6 +44,6 @@
      *     is needed for others
      */
     Flux<ByteBuf> pace(Flux<ByteBuf> body, Channel destination) {
-        return new PacedBody(body, destination, stalledTransfers);
+        return new PacedBody(body, destination, stalledTransfers, link);
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/HttpSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/HttpSettings.java
@@ -13,6 +13,7 @@
  * @param idleTimeout the maximum time that a caller's connection stays open between requests
  * @param connectTimeout the maximum time to open a connection to a backend server, and to wait for one of its pool
  * @param stallTimeout the maximum pause of a backend server within an answer
+ * @param linkBytesPerSecond the bandwidth of the host's link in each direction, zero if it is not known
  */
 public record HttpSettings(
         int maximumHeaderBytes,
@@ -21,7 +22,8 @@
         Duration readTimeout,
         Duration idleTimeout,
         Duration connectTimeout,
-        Duration stallTimeout) {
+        Duration stallTimeout,
+        long linkBytesPerSecond) {
 
     /** The limits that apply unless the settings specify others. */
     public static final HttpSettings DEFAULT = new HttpSettings(
@@ -31,7 +33,8 @@
             Duration.ofSeconds(20),
             Duration.ofSeconds(60),
             Duration.ofMillis(500),
-            Duration.ofSeconds(60));
+            Duration.ofSeconds(60),
+            0);
 
     /**
      * Returns a copy of these limits with another connect timeout.
@@ -47,6 +50,7 @@
                 readTimeout,
                 idleTimeout,
                 timeout,
-                stallTimeout);
+                stallTimeout,
+                linkBytesPerSecond);
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/PacedBody.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/PacedBody.java
@@ -2,17 +2,22 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import java.time.Duration;
+import org.chivecourse.coordination.transfer.LinkShare;
 import org.reactivestreams.Subscription;
 import reactor.core.CoreSubscriber;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxOperator;
+import reactor.core.publisher.Mono;
 import reactor.core.publisher.Operators;
+import reactor.core.scheduler.Schedulers;
 import reactor.util.context.Context;
 
 /**
  * A body that is forwarded no faster than the connection that it is written to accepts it. The next buffer is requested
- * only when the connection accepts writes, whatever the subscriber requests in advance.
+ * only when the connection accepts writes, and the share of the link that large bodies have is not taken by others,
+ * whatever the subscriber requests in advance.
  */
 final class PacedBody extends FluxOperator<ByteBuf, ByteBuf> {
 
@@ -22,17 +27,22 @@
     /** Bounds the memory of the bodies whose connections accept nothing. */
     private final StalledTransfers stalledTransfers;
 
+    /** The share of the link that large bodies have. */
+    private final LinkShare link;
+
     /**
      * Creates a body.
      *
      * @param source the buffers
      * @param destination the connection that they are written to
      * @param stalledTransfers bounds the memory of the bodies whose connections accept nothing
+     * @param link the share of the link that large bodies have
      */
-    PacedBody(Flux<ByteBuf> source, Channel destination, StalledTransfers stalledTransfers) {
+    PacedBody(Flux<ByteBuf> source, Channel destination, StalledTransfers stalledTransfers, LinkShare link) {
         super(source);
         this.destination = destination;
         this.stalledTransfers = stalledTransfers;
+        this.link = link;
     }
 
     @Override
@@ -58,6 +68,12 @@
         /** Whether the transfer has ended. Guarded by this instance's monitor. */
         private boolean ended;
 
+        /** The number of bytes transferred. */
+        private long transferredBytes;
+
+        /** The time for which the next buffer may not be requested, in nanoseconds. */
+        private long pauseNanoseconds;
+
         /** The wait until the connection accepts writes, {@code null} before the first one. */
         private volatile Disposable wait;
 
@@ -97,18 +113,35 @@
                 }
                 busy = true;
             }
-            if (destination.eventLoop().inEventLoop() && destination.isWritable()) {
+            if (pauseNanoseconds == 0 && destination.eventLoop().inEventLoop() && destination.isWritable()) {
                 upstream.request(1);
                 return;
             }
-            wait = stalledTransfers
-                    .count(Writability.await(destination))
-                    .subscribe(done -> {}, this::failWait, () -> upstream.request(1));
+            wait = stalledTransfers.count(awaitTurn()).subscribe(done -> {}, this::failWait, () -> upstream.request(1));
             if (hasEnded()) {
                 wait.dispose();
             }
         }
 
+        /** Returns what completes when the link and the connection accept the next buffer. */
+        private Mono<Void> awaitTurn() {
+            Mono<Void> writable = Writability.await(destination);
+            if (pauseNanoseconds == 0) {
+                return writable;
+            }
+            return Mono.delay(
+                            Duration.ofNanos(pauseNanoseconds), Schedulers.fromExecutorService(destination.eventLoop()))
+                    .then(writable);
+        }
+
+        /** Counts a buffer against the share of the link, once the body has turned out to be large. */
+        private void countTransferred(int bytes) {
+            transferredBytes += bytes;
+            pauseNanoseconds = transferredBytes > LinkShare.UNCOUNTED_BYTES
+                    ? link.pauseNanosecondsAfter(bytes, System.nanoTime())
+                    : 0;
+        }
+
         /** Ends the transfer because the connection does not accept writes any more. */
         private void failWait(Throwable cause) {
             if (end()) {
@@ -123,6 +156,7 @@
                 buffer.release();
                 return;
             }
+            countTransferred(buffer.readableBytes());
             synchronized (this) {
                 demand--;
             }
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -23,6 +23,7 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.coordination.transfer.LinkShare;
 import org.chivecourse.gateway.audit.AuditTrail;
 import org.chivecourse.gateway.environment.GatewayEnvironment;
 import org.chivecourse.gateway.environment.PublicationReader;
@@ -166,7 +167,10 @@
                 loopResources);
         MetricRegistry metrics = new MetricRegistry();
         ExchangeMetrics exchangeMetrics = new ExchangeMetrics(metrics);
-        ExchangeMemory memory = ExchangeMemory.ofProcess(Runtime.getRuntime().maxMemory(), exchangeMetrics);
+        ExchangeMemory memory = ExchangeMemory.ofProcess(
+                Runtime.getRuntime().maxMemory(),
+                LinkShare.ofBandwidth(settings.http().linkBytesPerSecond()),
+                exchangeMetrics);
         exchanges = new ExchangeRegistry(
                 driver,
                 connections,
@@ -180,6 +184,8 @@
         requestListeners = new RequestListeners(settings, callerTls, driver, exchanges, loopResources);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::openExchanges);
         metrics.register("calls.held-bytes", (Gauge<Long>) memory::heldBytes);
+        metrics.register(
+                "calls.large-body-bytes", (Gauge<Long>) () -> memory.link().openBytes());
         metrics.register("publication.epoch-changes", (Gauge<Integer>)
                 () -> driver.read(core -> core.publishedState().epochChanges()));
         MemoryMetrics.register(metrics);
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -64,6 +64,12 @@
     /** The maximum of the bound on a message's header, in bytes. */
     private static final int MAXIMUM_HEADER_BYTES = 1024 * 1024;
 
+    /** The maximum of {@code link-megabits-per-second}. */
+    private static final double MAXIMUM_LINK_MEGABITS = 1_000_000;
+
+    /** The number of bytes in a megabit. */
+    private static final double BYTES_PER_MEGABIT = 125_000;
+
     /** Prevents instantiation. */
     private GatewaySettingsReader() {}
 
@@ -246,7 +252,8 @@
                 readMilliseconds(reader, "read-timeout-milliseconds", defaults.readTimeout()),
                 readMilliseconds(reader, "idle-timeout-milliseconds", defaults.idleTimeout()),
                 readMilliseconds(reader, "connect-timeout-milliseconds", defaults.connectTimeout()),
-                readMilliseconds(reader, "stall-timeout-milliseconds", defaults.stallTimeout()));
+                readMilliseconds(reader, "stall-timeout-milliseconds", defaults.stallTimeout()),
+                (long) (BYTES_PER_MEGABIT * reader.number("link-megabits-per-second", 0, MAXIMUM_LINK_MEGABITS, 0)));
         reader.rejectUnknownKeys();
         return settings;
     }
