--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -20,6 +20,7 @@
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.coordination.host.HostCore;
 import org.chivecourse.coordination.host.HostSettings;
+import org.chivecourse.coordination.transfer.LinkShare;
 import org.chivecourse.gateway.audit.AuditTrail;
 import org.chivecourse.gateway.environment.GatewayEnvironment;
 import org.chivecourse.gateway.environment.PublicationReader;
@@ -167,7 +168,10 @@
                 loopResources,
                 crossings);
         ExchangeMetrics exchangeMetrics = new ExchangeMetrics(metrics);
-        ExchangeMemory memory = ExchangeMemory.ofProcess(Runtime.getRuntime().maxMemory(), exchangeMetrics);
+        ExchangeMemory memory = ExchangeMemory.ofProcess(
+                Runtime.getRuntime().maxMemory(),
+                LinkShare.ofBandwidth(settings.http().linkBytesPerSecond()),
+                exchangeMetrics);
         exchanges = new ExchangeRegistry(
                 driver,
                 connections,
@@ -182,6 +186,8 @@
         metrics.register("calls.open", (Gauge<Integer>) exchanges::openExchanges);
         metrics.register("calls.held-bytes", (Gauge<Long>) memory::heldBytes);
         CoreMetrics.register(metrics, driver);
+        metrics.register(
+                "calls.large-body-bytes", (Gauge<Long>) () -> memory.link().openBytes());
         MemoryMetrics.register(metrics);
         operatorListener = new OperatorListener(
                 SettingsTranslation.listenAddress(settings.operators().address()),
