Bound the memory of heads by their lines, over all connections

Cause: a head line of four bytes takes some 130 bytes decoded and more in the head that is forwarded, for as long as its call lasts; only the bytes of one head were bounded, and nothing the sum over connections, also of heads that arrive. Besides, a connection with more than 12 kB of an unfinished head was closed, so that a legal head of 65,536 bytes was not served, and the names in Connection fields were kept each.

Change: HeadMemoryGuard counts lines and bytes in front of the decoder and reserves their memory until the exchange ends; requests share a quarter of the process's memory, answers an eighth, connections with large heads a half of that. Beyond it 503 heads-full with a true not-run promise and Retry-After, or 431 beyond largest-header-lines (16,384); a connection with another unanswered request is closed. Callers', forwarding and operators' listeners and connections to backend servers have it. The guard of framing leaves room for one head.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -17,6 +17,12 @@
     /** The request's body exceeds the configured limit. */
     BODY_TOO_LARGE(413, "the request's body is too large"),
 
+    /** The head of the request has more lines than the configured limit. */
+    HEAD_TOO_LARGE(431, "the request has too many header lines"),
+
+    /** The heads of requests take so much memory that there is none for this one. */
+    HEADS_FULL(503, "the heads of requests take too much memory"),
+
     /** No service matches the path. */
     NO_SERVICE(404, "no service of this path"),
 
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/head/HeadMemoryGuard.java
@@ -0,0 +1,243 @@
+package org.chivecourse.transport.head;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.chivecourse.coordination.decision.Reason;
+import reactor.netty.NettyPipeline;
+
+/**
+ * Reserves the memory of a connection's heads and trailers, line by line while they arrive, until their exchanges end.
+ * Refuses a head for which there is none. Runs on the connection's event loop.
+ */
+final class HeadMemoryGuard extends ChannelInboundHandlerAdapter {
+
+    /** The byte that ends a line. */
+    private static final byte LINE_FEED = '\n';
+
+    /** The lines of a decoded head beside its fields: the first one and the empty one. */
+    private static final int LINES_BESIDE_FIELDS = 2;
+
+    /** The lines that a chunk of a body has: its size, and the end of its content. */
+    private static final int LINES_PER_CHUNK = 2;
+
+    /** The limits. */
+    private final HeadLimits limits;
+
+    /** How a head beyond the limits is refused. */
+    private final HeadRefusal refusal;
+
+    /** Whether heads of requests arrive, which are held until they are answered. */
+    private final boolean server;
+
+    /** The memory of the heads whose exchanges have not ended, in the order of their arrival. */
+    private final Deque<Long> decoded = new ArrayDeque<>();
+
+    /** The lines and bytes that have arrived and are not decoded. */
+    private HeadCost arriving = HeadCost.NONE;
+
+    /** The memory that is reserved for what arrives. */
+    private long arrivingMemory;
+
+    /** The sum of the memory of the decoded heads. */
+    private long decodedMemory;
+
+    /** The lines of the buffer that is being read. */
+    private long readLines;
+
+    /** The lines of the buffer that is being read which no decoded message explains. */
+    private long unexplainedLines;
+
+    /** Whether a message has been decoded from the buffer that is being read. */
+    private boolean decodedAny;
+
+    /** Whether the body of a message arrives. */
+    private boolean inBody;
+
+    /** Whether the connection has been refused or has ended. */
+    private boolean closed;
+
+    /** Creates the guard of a connection. */
+    private HeadMemoryGuard(HeadLimits limits, HeadRefusal refusal, boolean server) {
+        this.limits = limits;
+        this.refusal = refusal;
+        this.server = server;
+    }
+
+    /**
+     * Adds a guard to a connection, before and behind the handler that decodes HTTP/1.1. Other connections get none.
+     *
+     * @param channel the connection
+     * @param limits the limits
+     * @param refusal how a head beyond the limits is refused
+     * @param server whether heads of requests arrive
+     */
+    static void addTo(Channel channel, HeadLimits limits, HeadRefusal refusal, boolean server) {
+        ChannelPipeline pipeline = channel.pipeline();
+        if (pipeline.get(NettyPipeline.HttpCodec) == null) {
+            return;
+        }
+        HeadMemoryGuard guard = new HeadMemoryGuard(limits, refusal, server);
+        pipeline.addBefore(NettyPipeline.HttpCodec, "chivecourse.arriving-heads", guard);
+        pipeline.addAfter(NettyPipeline.HttpCodec, "chivecourse.decoded-heads", guard.decodedHandler());
+    }
+
+    /** Returns the handler of decoded messages and of the answers to them. */
+    private ChannelHandler decodedHandler() {
+        return new ChannelDuplexHandler() {
+
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                if (closed) {
+                    ReferenceCountUtil.release(message);
+                    return;
+                }
+                decodedAny = true;
+                if (message instanceof HttpMessage head) {
+                    recordHead(head);
+                }
+                if (message instanceof HttpContent content) {
+                    recordContent(content);
+                }
+                context.fireChannelRead(message);
+            }
+
+            @Override
+            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                if (server && message instanceof LastHttpContent && !informational(message)) {
+                    endExchange();
+                }
+                context.write(message, promise);
+            }
+        };
+    }
+
+    /** Returns whether a message is an answer that another one follows. */
+    private static boolean informational(Object message) {
+        return message instanceof HttpResponse response
+                && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (closed) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        ByteBuf buffer = (ByteBuf) message;
+        int bytes = buffer.readableBytes();
+        readLines = countLines(buffer);
+        unexplainedLines = readLines;
+        decodedAny = false;
+        if (!inBody && !setArriving(context, arriving.plus(readLines, bytes))) {
+            buffer.release();
+            return;
+        }
+        boolean bodyBefore = inBody;
+        context.fireChannelRead(buffer);
+        if (closed) {
+            return;
+        }
+        if (decodedAny) {
+            setArriving(context, new HeadCost(unexplainedLines, 0));
+        } else if (bodyBefore) {
+            setArriving(context, arriving.plus(readLines, bytes));
+        }
+    }
+
+    /** Returns the number of line ends in a buffer. */
+    private static long countLines(ByteBuf buffer) {
+        long lines = 0;
+        int end = buffer.writerIndex();
+        int index = buffer.indexOf(buffer.readerIndex(), end, LINE_FEED);
+        while (index >= 0) {
+            lines++;
+            index = buffer.indexOf(index + 1, end, LINE_FEED);
+        }
+        return lines;
+    }
+
+    /**
+     * Replaces what has arrived and is not decoded, and reserves its memory.
+     *
+     * @return {@code false} if it goes beyond the limits, in which case the connection ends
+     */
+    private boolean setArriving(ChannelHandlerContext context, HeadCost cost) {
+        long further = cost.memory() - arrivingMemory;
+        boolean tooManyLines = cost.lines() > limits.maximumLines();
+        if (tooManyLines || further > 0 && !limits.budget().reserve(arrivingMemory + decodedMemory, further)) {
+            refuse(context, tooManyLines ? Reason.HEAD_TOO_LARGE : Reason.HEADS_FULL);
+            return false;
+        }
+        if (further < 0) {
+            limits.budget().release(-further);
+        }
+        arriving = cost;
+        arrivingMemory = cost.memory();
+        return true;
+    }
+
+    /** Ends the connection. */
+    private void refuse(ChannelHandlerContext context, Reason reason) {
+        boolean answerable = decoded.isEmpty() && !inBody;
+        closed = true;
+        limits.recordRefusal();
+        refusal.refuse(context, reason, answerable);
+    }
+
+    /** Moves the memory of a head that has been decoded from what arrives to its exchange. */
+    private void recordHead(HttpMessage head) {
+        long fieldLines = head.headers().size() + LINES_BESIDE_FIELDS;
+        unexplainedLines = Math.min(readLines, Math.max(0, arriving.lines() - fieldLines));
+        HeadCost cost = new HeadCost(arriving.lines() - unexplainedLines, arriving.bytes());
+        arriving = new HeadCost(unexplainedLines, 0);
+        arrivingMemory -= cost.memory();
+        decoded.addLast(cost.memory());
+        decodedMemory += cost.memory();
+        inBody = true;
+    }
+
+    /** Records a part of a body, whose lines are none of a head. */
+    private void recordContent(HttpContent content) {
+        unexplainedLines = Math.max(0, unexplainedLines - countLines(content.content()) - LINES_PER_CHUNK);
+        if (!(content instanceof LastHttpContent last)) {
+            return;
+        }
+        unexplainedLines = Math.max(0, unexplainedLines - last.trailingHeaders().size());
+        inBody = false;
+        if (!server) {
+            endExchange();
+        }
+    }
+
+    /** Returns the memory of the head whose exchange ends first. */
+    private void endExchange() {
+        Long memory = decoded.pollFirst();
+        if (memory != null) {
+            decodedMemory -= memory;
+            limits.budget().release(memory);
+        }
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        closed = true;
+        limits.budget().release(arrivingMemory + decodedMemory);
+        arrivingMemory = 0;
+        decodedMemory = 0;
+        decoded.clear();
+    }
+}
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import org.chivecourse.configuration.model.BackendServer;
 import org.chivecourse.configuration.rule.Address;
+import org.chivecourse.transport.head.HeadLimits;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
@@ -43,6 +44,9 @@
     /** The event loops that connections run on. */
     private final LoopResources loops;
 
+    /** The limits on the heads of answers. */
+    private final HeadLimits answerHeads;
+
     /** The backend servers in use by their identity. */
     private volatile Map<String, BackendServer> servers = Map.of();
 
@@ -56,12 +60,19 @@
      * @param settings the limits on connections
      * @param tls supplies the TLS context for backend servers, or {@code null} for plain connections
      * @param loops the event loops that connections run on
+     * @param answerHeads the limits on the heads of answers
      */
-    public BackendConnections(int expectedHosts, HttpSettings settings, Supplier<SslContext> tls, LoopResources loops) {
+    public BackendConnections(
+            int expectedHosts,
+            HttpSettings settings,
+            Supplier<SslContext> tls,
+            LoopResources loops,
+            HeadLimits answerHeads) {
         this.expectedHosts = expectedHosts;
         this.settings = settings;
         this.tls = tls;
         this.loops = loops;
+        this.answerHeads = answerHeads;
     }
 
     /**
@@ -114,7 +125,7 @@
                 .disableRetry(true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, ConnectionOptions.receiveAllocator())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionOptions.watermark())
-                .doOnChannelInit((observer, channel, remote) -> InboundGuards.addToBackendServer(channel))
+                .doOnChannelInit((observer, channel, remote) -> InboundGuards.addToBackendServer(channel, answerHeads))
                 .headers(headers -> headers.remove(HttpHeaderNames.USER_AGENT));
         SslContext context = tls.get();
         return new PooledClient(
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerListener.java
@@ -17,6 +17,7 @@
 import org.chivecourse.protocol.http.BadRequestException;
 import org.chivecourse.protocol.http.RequestFraming;
 import org.chivecourse.transport.driver.CoreDriver;
+import org.chivecourse.transport.head.HeadRefusal;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -111,7 +112,12 @@
                 .readTimeout(settings.readTimeout())
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, ConnectionOptions.receiveAllocator())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionOptions.watermark())
-                .doOnChannelInit((observer, channel, remote) -> InboundGuards.addToCaller(channel))
+                .doOnChannelInit((observer, channel, remote) -> InboundGuards.addToCaller(
+                        channel,
+                        settings.maximumHeaderBytes(),
+                        registry.memory().requestHeads(),
+                        new HeadRefusal.Answering(
+                                registry.dialect(), refusal -> registry.log().logRefusal("", 0, refusal, 0))))
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(settings.maximumHeaderBytes())
                         .maxInitialLineLength(settings.maximumHeaderBytes())
                         .allowDuplicateContentLengths(false))
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerRequest.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -167,8 +168,8 @@
     }
 
     /**
-     * Returns the header fields that a request's {@code Connection} field names, which concern the caller's connection
-     * only.
+     * Returns the header fields of a request that its {@code Connection} field names, which concern the caller's
+     * connection only. Names of other fields are not kept, since there may be very many.
      *
      * @param headers the header fields of the request
      * @return the names in lower case, possibly none
@@ -178,13 +179,20 @@
         if (values.isEmpty()) {
             return Set.of();
         }
-        Set<String> names = new HashSet<>();
+        Set<String> named = new HashSet<>();
         for (String value : values) {
             for (String name : value.split(",")) {
-                names.add(name.trim().toLowerCase(Locale.ROOT));
+                named.add(name.trim().toLowerCase(Locale.ROOT));
             }
         }
-        return names;
+        Set<String> present = new HashSet<>();
+        for (Map.Entry<String, String> header : headers) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (named.contains(name)) {
+                present.add(name);
+            }
+        }
+        return present;
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMemory.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMemory.java
@@ -1,7 +1,10 @@
 package org.chivecourse.transport.http;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import org.chivecourse.transport.head.HeadLimits;
 import reactor.core.publisher.Flux;
 
 /**
@@ -9,26 +12,37 @@
  *
  * @param buffers the memory of the bodies that are kept whole
  * @param stalledTransfers the bodies whose recipient does not read
+ * @param requestHeads the limits on the heads of requests
+ * @param answerHeads the limits on the heads of backend servers' answers
  */
-public record ExchangeMemory(BufferBudget buffers, StalledTransfers stalledTransfers) {
+public record ExchangeMemory(
+        BufferBudget buffers, StalledTransfers stalledTransfers, HeadLimits requestHeads, HeadLimits answerHeads) {
 
-    /** The part of the memory that the process was given for each of the two: a quarter. */
+    /** The part of the memory that the process was given for each kind of bodies: a quarter. */
     private static final int PARTS = 4;
 
     /**
      * Returns the memory of a process.
      *
      * @param maximumBytes the memory that the process was given, in bytes
+     * @param settings the limits on single messages
      * @param metrics records transfers that were ended
+     * @param registry the registry of all metrics
      * @return the memory that its exchanges may hold
      */
-    public static ExchangeMemory ofProcess(long maximumBytes, ExchangeMetrics metrics) {
-        return new ExchangeMemory(
-                new BufferBudget(maximumBytes / PARTS), new StalledTransfers(maximumBytes / PARTS, metrics));
+    public static ExchangeMemory ofProcess(
+            long maximumBytes, HttpSettings settings, ExchangeMetrics metrics, MetricRegistry registry) {
+        ExchangeMemory memory = new ExchangeMemory(
+                new BufferBudget(maximumBytes / PARTS),
+                new StalledTransfers(maximumBytes / PARTS, metrics),
+                HeadLimits.ofRequests(maximumBytes, settings.maximumHeaderLines(), registry),
+                HeadLimits.ofAnswers(maximumBytes, settings.maximumHeaderLines(), registry));
+        registry.register("calls.held-bytes", (Gauge<Long>) memory::heldBytes);
+        return memory;
     }
 
-    /** Returns the number of bytes that are held now, which metrics report. */
-    public long heldBytes() {
+    /** Returns the number of bytes of bodies that are held now, which metrics report. */
+    private long heldBytes() {
         return buffers.reservedBytes() + stalledTransfers.heldBytes();
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/FramingOverheadGuard.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/FramingOverheadGuard.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import reactor.netty.NettyPipeline;
 
@@ -32,20 +33,29 @@
     /** Whether the connection has been closed. What is still decoded belongs to no exchange. */
     private boolean closed;
 
+    /** The number of bytes that a head may have which has not been decoded. */
+    private final long maximumHeadBytes;
+
+    /** Whether the body of a message arrives. */
+    private boolean inBody;
+
     /** Creates the guard of a connection. */
-    private FramingOverheadGuard() {}
+    private FramingOverheadGuard(long maximumHeadBytes) {
+        this.maximumHeadBytes = maximumHeadBytes;
+    }
 
     /**
      * Adds a guard to a connection, before and behind the handler that decodes HTTP/1.1. Other connections get none.
      *
      * @param channel the connection
+     * @param maximumHeadBytes the number of bytes that a head may have beside the framing
      */
-    static void addTo(Channel channel) {
+    static void addTo(Channel channel, long maximumHeadBytes) {
         ChannelPipeline pipeline = channel.pipeline();
         if (pipeline.get(NettyPipeline.HttpCodec) == null) {
             return;
         }
-        FramingOverheadGuard guard = new FramingOverheadGuard();
+        FramingOverheadGuard guard = new FramingOverheadGuard(maximumHeadBytes);
         pipeline.addBefore(NettyPipeline.HttpCodec, "chivecourse.received-bytes", guard);
         pipeline.addAfter(NettyPipeline.HttpCodec, "chivecourse.carried-bytes", guard.decodedHandler());
     }
@@ -63,10 +73,14 @@
                 if (message instanceof HttpMessage head && !informational(head)) {
                     received = 0;
                     carried = 0;
+                    inBody = true;
                 }
                 if (message instanceof HttpContent content) {
                     carried += content.content().readableBytes();
                 }
+                if (message instanceof LastHttpContent) {
+                    inBody = false;
+                }
                 context.fireChannelRead(message);
             }
         };
@@ -81,7 +95,8 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         received += ((ByteBuf) message).readableBytes();
         context.fireChannelRead(message);
-        if (!closed && received > 2 * carried + MAXIMUM_OVERHEAD_BYTES) {
+        long maximumOverhead = MAXIMUM_OVERHEAD_BYTES + (inBody ? 0 : maximumHeadBytes);
+        if (!closed && received > 2 * carried + maximumOverhead) {
             closed = true;
             context.fireExceptionCaught(
                     new TooLongFrameException(received + " bytes arrived for a body of " + carried + " bytes"));
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/HttpSettings.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/HttpSettings.java
@@ -6,6 +6,7 @@
  * The limits on HTTP messages and connections.
  *
  * @param maximumHeaderBytes the maximum size of a request's header and of its first line
+ * @param maximumHeaderLines the maximum number of lines of a request's header
  * @param maximumBodyBytes the maximum size of the body of a request or an answer
  * @param maximumReplayableBodyBytes the maximum size of a request's body that is kept in memory so that it can be sent
  *     again
@@ -16,6 +17,7 @@
  */
 public record HttpSettings(
         int maximumHeaderBytes,
+        int maximumHeaderLines,
         long maximumBodyBytes,
         int maximumReplayableBodyBytes,
         Duration readTimeout,
@@ -25,6 +27,7 @@
 
     /** The limits that apply unless the settings specify others. */
     public static final HttpSettings DEFAULT = new HttpSettings(
+            16 * 1024,
             16 * 1024,
             1024L * 1024 * 1024,
             64 * 1024,
@@ -42,6 +45,7 @@
     public HttpSettings withConnectTimeout(Duration timeout) {
         return new HttpSettings(
                 maximumHeaderBytes,
+                maximumHeaderLines,
                 maximumBodyBytes,
                 maximumReplayableBodyBytes,
                 readTimeout,
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/InboundGuards.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/InboundGuards.java
@@ -1,6 +1,8 @@
 package org.chivecourse.transport.http;
 
 import io.netty.channel.Channel;
+import org.chivecourse.transport.head.HeadLimits;
+import org.chivecourse.transport.head.HeadRefusal;
 
 /** Adds to connections the handlers that bound what the other side can make this gateway do by the bytes it writes. */
 final class InboundGuards {
@@ -12,19 +14,26 @@
      * Adds the handlers of a connection to a backend server or to another gateway.
      *
      * @param channel the connection
+     * @param heads the limits on the heads of answers
      */
-    static void addToBackendServer(Channel channel) {
+    static void addToBackendServer(Channel channel, HeadLimits heads) {
         StrayBytesGuard.addTo(channel);
-        addToCaller(channel);
+        ContentMerger.addTo(channel);
+        FramingOverheadGuard.addTo(channel, 0);
+        heads.addToClient(channel);
     }
 
     /**
      * Adds the handlers of a caller's connection.
      *
      * @param channel the connection
+     * @param maximumHeaderBytes the maximum size of a request's head
+     * @param heads the limits on the heads of requests
+     * @param refusal how a head beyond the limits is refused
      */
-    static void addToCaller(Channel channel) {
+    static void addToCaller(Channel channel, int maximumHeaderBytes, HeadLimits heads, HeadRefusal refusal) {
         ContentMerger.addTo(channel);
-        FramingOverheadGuard.addTo(channel);
+        FramingOverheadGuard.addTo(channel, maximumHeaderBytes);
+        heads.addToServer(channel, refusal);
     }
 }
--- /dev/null
+++ b/chivecourse-core/src/test/java/org/chivecourse/transport/head/HeadMemoryGuardTest.java
@@ -0,0 +1,171 @@
+package org.chivecourse.transport.head;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.startsWith;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import org.chivecourse.protocol.http.HeaderDialect;
+import org.junit.jupiter.api.Test;
+import reactor.netty.NettyPipeline;
+
+/** Guards what connections reserve for heads: bounded while they arrive, and returned when their exchanges end. */
+class HeadMemoryGuardTest {
+
+    private static final int MAXIMUM_LINES = 2000;
+
+    private static final long PROCESS_BYTES = 4_000_000;
+
+    private static final int SIZE_LIMIT = 65_536;
+
+    private static final String START = "GET /1 HTTP/1.1\r\nHost: a\r\n";
+
+    private final MetricRegistry metrics = new MetricRegistry();
+
+    private final HeadLimits limits = HeadLimits.ofRequests(PROCESS_BYTES, MAXIMUM_LINES, metrics);
+
+    private EmbeddedChannel open() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        channel.pipeline().addLast(NettyPipeline.HttpCodec, new HttpServerCodec(SIZE_LIMIT, SIZE_LIMIT, SIZE_LIMIT));
+        limits.addToServer(channel, new HeadRefusal.Answering(HeaderDialect.Default.INSTANCE, answer -> {}));
+        return channel;
+    }
+
+    private static void write(EmbeddedChannel channel, String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+        for (Object message = channel.readInbound(); message != null; message = channel.readInbound()) {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private static void answer(EmbeddedChannel channel) {
+        channel.writeOutbound(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+        readAnswer(channel);
+    }
+
+    private static String readAnswer(EmbeddedChannel channel) {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            text.append(part.toString(StandardCharsets.ISO_8859_1));
+            part.release();
+        }
+        return text.toString();
+    }
+
+    private long held() {
+        return limits.budget().reservedBytes();
+    }
+
+    @Test
+    void holdsHeadUntilItsAnswer() {
+        EmbeddedChannel channel = open();
+        write(channel, START + "a:\r\n".repeat(100));
+        long arriving = held();
+        write(channel, "\r\n");
+        assertThat(held(), greaterThan(arriving));
+        answer(channel);
+        assertThat(held(), equalTo(0L));
+    }
+
+    @Test
+    void holdsEachOfPipelinedHeads() {
+        EmbeddedChannel channel = open();
+        String head = START + "a:\r\n".repeat(10) + "\r\n";
+        write(channel, head);
+        long one = held();
+        write(channel, head + head);
+        assertThat(held(), greaterThan(2 * one));
+        answer(channel);
+        answer(channel);
+        answer(channel);
+        assertThat(held(), equalTo(0L));
+    }
+
+    /** A caller that folds lines on a connection that it keeps must not come closer to a refusal by each request. */
+    @Test
+    void holdsNoMoreAfterManyRequests() {
+        EmbeddedChannel channel = open();
+        for (int number = 0; number < MAXIMUM_LINES; number++) {
+            write(channel, START + "a: b\r\n c\r\n d\r\n\r\n");
+            answer(channel);
+        }
+        assertThat(channel.isOpen(), equalTo(true));
+        assertThat(held(), lessThan(10_000L));
+    }
+
+    /** A body of lines, and one in chunks of a byte, are no heads. */
+    @Test
+    void holdsNoLinesOfBodies() {
+        EmbeddedChannel channel = open();
+        write(channel, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n");
+        long head = held();
+        write(channel, "\n".repeat(9000));
+        assertThat(held(), equalTo(head));
+        answer(channel);
+        write(channel, "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+        head = held();
+        write(channel, "1\r\nx\r\n".repeat(1000));
+        assertThat(held(), lessThan(head + 1000));
+        write(channel, "0\r\n" + "a:\r\n".repeat(100));
+        assertThat(held(), greaterThan(head + 20_000));
+        write(channel, "\r\n");
+        answer(channel);
+        assertThat(held(), lessThan(1000L));
+    }
+
+    @Test
+    void refusesHeadOfTooManyLines() {
+        EmbeddedChannel channel = open();
+        write(channel, START + "a:\r\n".repeat(MAXIMUM_LINES));
+        assertThat(readAnswer(channel), allOf(startsWith("HTTP/1.1 431 "), containsString("not-run")));
+        assertThat(channel.isOpen(), equalTo(false));
+        assertThat(held(), equalTo(0L));
+    }
+
+    /** The caller whose head is large is refused; ordinary ones are served beside it. */
+    @Test
+    void refusesLargeHeadsFirst() {
+        EmbeddedChannel first = open();
+        write(first, START + "a:\r\n".repeat(MAXIMUM_LINES - 10));
+        EmbeddedChannel second = open();
+        write(second, START + "a:\r\n".repeat(MAXIMUM_LINES - 10));
+        assertThat(
+                readAnswer(second),
+                allOf(startsWith("HTTP/1.1 503 "), containsString("not-run"), containsString("Retry-After: ")));
+        EmbeddedChannel ordinary = open();
+        write(ordinary, START + "\r\n");
+        assertThat(ordinary.isOpen(), equalTo(true));
+        assertThat(first.isOpen(), equalTo(true));
+        assertThat(metrics.counter("heads.requests.refused").getCount(), equalTo(1L));
+        first.close();
+        ordinary.close();
+        assertThat(held(), equalTo(0L));
+    }
+
+    /** Nothing is promised on a connection on which an earlier request is unanswered. */
+    @Test
+    void closesWithoutAnswerBesideUnansweredRequest() {
+        EmbeddedChannel channel = open();
+        write(channel, START + "\r\n");
+        try {
+            write(channel, START + "a:\r\n".repeat(MAXIMUM_LINES));
+        } catch (RuntimeException exception) {
+            // The pipeline of the test has no handler of failures.
+        }
+        assertThat(channel.isOpen(), equalTo(false));
+        assertThat(readAnswer(channel), equalTo(""));
+    }
+}
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -159,14 +159,16 @@
         driver = new CoreDriver(
                 new HostCore(hostSettings, new SplittableRandom(seed), environment.publicationDecoder()),
                 traceRecorder);
+        MetricRegistry metrics = new MetricRegistry();
+        ExchangeMetrics exchangeMetrics = new ExchangeMetrics(metrics);
+        ExchangeMemory memory =
+                ExchangeMemory.ofProcess(Runtime.getRuntime().maxMemory(), settings.http(), exchangeMetrics, metrics);
         connections = new BackendConnections(
                 settings.expectedHosts(),
                 SettingsTranslation.httpSettings(settings),
                 backendTls::context,
-                loopResources);
-        MetricRegistry metrics = new MetricRegistry();
-        ExchangeMetrics exchangeMetrics = new ExchangeMetrics(metrics);
-        ExchangeMemory memory = ExchangeMemory.ofProcess(Runtime.getRuntime().maxMemory(), exchangeMetrics);
+                loopResources,
+                memory.answerHeads());
         exchanges = new ExchangeRegistry(
                 driver,
                 connections,
@@ -179,7 +181,6 @@
                 driver, connections, environment.headerDialect(), SettingsTranslation.probeTimeout(settings));
         requestListeners = new RequestListeners(settings, callerTls, driver, exchanges, loopResources);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::openExchanges);
-        metrics.register("calls.held-bytes", (Gauge<Long>) memory::heldBytes);
         metrics.register("publication.epoch-changes", (Gauge<Integer>)
                 () -> driver.read(core -> core.publishedState().epochChanges()));
         MemoryMetrics.register(metrics);
@@ -189,7 +190,8 @@
                 this::status,
                 new MetricsPrinter(metrics),
                 this::trace,
-                loopResources);
+                loopResources,
+                memory.requestHeads());
         feeds = new PlatformFeeds(settings, driver, seed, clock);
         publicationReader = environment.createPublicationReader(settings, driver, loopResources);
         peerEndpoint = settings.peers() == null ? null : createPeerEndpoint(metrics);
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/OperatorListener.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/operator/OperatorListener.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.chivecourse.transport.head.HeadLimits;
+import org.chivecourse.transport.head.HeadRefusal;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
@@ -32,6 +34,9 @@
     /** The event loops that connections run on. */
     private final LoopResources loops;
 
+    /** The limits on the heads of requests. */
+    private final HeadLimits heads;
+
     /** The listening server, {@code null} before the start. */
     private DisposableServer server;
 
@@ -44,6 +49,7 @@
      * @param metrics formats the metrics
      * @param trace returns the latest steps of the decision core as JSON lines
      * @param loops the event loops that connections run on
+     * @param heads the limits on the heads of requests
      */
     public OperatorListener(
             InetSocketAddress address,
@@ -51,8 +57,10 @@
             Supplier<String> status,
             MetricsPrinter metrics,
             Supplier<String> trace,
-            LoopResources loops) {
+            LoopResources loops,
+            HeadLimits heads) {
         this.loops = loops;
+        this.heads = heads;
         this.address = address;
         this.ready = ready;
         this.status = status;
@@ -65,6 +73,8 @@
         server = HttpServer.create()
                 .runOn(loops)
                 .bindAddress(() -> address)
+                .doOnChannelInit(
+                        (observer, channel, remote) -> heads.addToServer(channel, HeadRefusal.Closing.INSTANCE))
                 .route(routes -> routes.get("/health", (request, response) -> sendText(response, () -> "alive\n"))
                         .get("/ready", (request, response) -> sendReadiness(response))
                         .get("/status", (request, response) -> sendJson(response, status))
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/settings/GatewaySettingsReader.java
@@ -241,6 +241,7 @@
         HttpSettings settings = new HttpSettings(
                 (int) reader.integer(
                         "largest-header-bytes", MINIMUM_HEADER_BYTES, MAXIMUM_HEADER_BYTES, defaultHeaderBytes),
+                (int) reader.integer("largest-header-lines", 1, MAXIMUM_HEADER_BYTES, defaults.maximumHeaderLines()),
                 reader.integer("largest-body-bytes", 0, Long.MAX_VALUE, defaults.maximumBodyBytes()),
                 (int) reader.integer("replay-bytes", 0, MAXIMUM_REPLAY_BYTES, defaults.maximumReplayableBodyBytes()),
                 readMilliseconds(reader, "read-timeout-milliseconds", defaults.readTimeout()),
--- a/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
+++ b/chivecourse-gateway/src/test/java/org/chivecourse/gateway/settings/GatewaySettingsReaderTest.java
@@ -77,6 +77,7 @@
                 "lifetime-milliseconds: 60000 | lifetime-milliseconds: 0 | keys.lifetime-milliseconds | 1 to 3600000",
                 "largest-number: 100000 | largest-number: none | keys.largest-number | 1 to 1000000",
                 "header-bytes: 16384 | header-bytes: 10 | http.largest-header-bytes | 1024 to",
+                "header-lines: 16384 | header-lines: 0 | http.largest-header-lines | 1 to",
                 "body-bytes: 1073741824 | body-bytes: 1G | http.largest-body-bytes | an integer",
                 "replay-bytes: 65536 | replay-bytes: 9999999 | http.replay-bytes | 0 to 1048576",
                 "read-timeout-milliseconds: 20000 | read-timeout: 20000 | http.read-timeout | unknown key",
