--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/decision/Reason.java
@@ -20,6 +20,12 @@
     /** The large bodies that are being transferred leave no time for the request's on the host's link. */
     LINK_BUSY(503, "large bodies take the gateway's link for longer than the request has"),
 
+    /** The head of the request has more lines than the configured limit. */
+    HEAD_TOO_LARGE(431, "the request has too many header lines"),
+
+    /** The heads of requests take so much memory that there is none for this one. */
+    HEADS_FULL(503, "the heads of requests take too much memory"),
+
     /** No service matches the path. */
     NO_SERVICE(404, "no service of this path"),
 
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendConnections.java
@@ -16,6 +16,7 @@
 import org.chivecourse.transport.crossing.CrossingCause;
 import org.chivecourse.transport.crossing.CrossingMeter;
 import org.chivecourse.transport.crossing.CrossingMetrics;
+import org.chivecourse.transport.head.HeadLimits;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
@@ -49,6 +50,9 @@
     /** Counts the bytes that cross between data centres. */
     private final CrossingMetrics crossings;
 
+    /** The limits on the heads of answers. */
+    private final HeadLimits answerHeads;
+
     /** The backend servers in use by their identity. */
     private volatile Map<String, BackendServer> servers = Map.of();
 
@@ -63,18 +67,21 @@
      * @param tls supplies the TLS context for backend servers, or {@code null} for plain connections
      * @param loops the event loops that connections run on
      * @param crossings counts the bytes that cross between data centres
+     * @param answerHeads the limits on the heads of answers
      */
     public BackendConnections(
             int expectedHosts,
             HttpSettings settings,
             Supplier<SslContext> tls,
             LoopResources loops,
-            CrossingMetrics crossings) {
+            CrossingMetrics crossings,
+            HeadLimits answerHeads) {
         this.expectedHosts = expectedHosts;
         this.settings = settings;
         this.tls = tls;
         this.loops = loops;
         this.crossings = crossings;
+        this.answerHeads = answerHeads;
     }
 
     /**
@@ -128,7 +135,7 @@
                 .option(ChannelOption.RCVBUF_ALLOCATOR, ConnectionOptions.receiveAllocator())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionOptions.watermark())
                 .doOnChannelInit((observer, channel, remote) -> {
-                    InboundGuards.addToBackendServer(channel);
+                    InboundGuards.addToBackendServer(channel, answerHeads);
                     CrossingMeter.addTo(channel, server.dataCentre(), CrossingCause.CONNECTION, crossings);
                 })
                 .headers(headers -> headers.remove(HttpHeaderNames.USER_AGENT));
--- a/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
+++ b/chivecourse-gateway/src/main/java/org/chivecourse/gateway/daemon/Gateway.java
@@ -161,17 +161,20 @@
                 traceRecorder);
         MetricRegistry metrics = new MetricRegistry();
         crossings = new CrossingMetrics(metrics, settings.dataCentre());
+        ExchangeMetrics exchangeMetrics = new ExchangeMetrics(metrics);
+        ExchangeMemory memory = ExchangeMemory.ofProcess(
+                Runtime.getRuntime().maxMemory(),
+                LinkShare.ofBandwidth(settings.http().linkBytesPerSecond()),
+                settings.http(),
+                exchangeMetrics,
+                metrics);
         connections = new BackendConnections(
                 settings.expectedHosts(),
                 SettingsTranslation.httpSettings(settings),
                 backendTls::context,
                 loopResources,
-                crossings);
-        ExchangeMetrics exchangeMetrics = new ExchangeMetrics(metrics);
-        ExchangeMemory memory = ExchangeMemory.ofProcess(
-                Runtime.getRuntime().maxMemory(),
-                LinkShare.ofBandwidth(settings.http().linkBytesPerSecond()),
-                exchangeMetrics);
+                crossings,
+                memory.answerHeads());
         exchanges = new ExchangeRegistry(
                 driver,
                 connections,
@@ -184,7 +187,6 @@
                 driver, connections, environment.headerDialect(), SettingsTranslation.probeTimeout(settings));
         requestListeners = new RequestListeners(settings, callerTls, driver, exchanges, loopResources);
         metrics.register("calls.open", (Gauge<Integer>) exchanges::openExchanges);
-        metrics.register("calls.held-bytes", (Gauge<Long>) memory::heldBytes);
         CoreMetrics.register(metrics, driver);
         metrics.register(
                 "calls.large-body-bytes", (Gauge<Long>) () -> memory.link().openBytes());
@@ -195,7 +197,8 @@
                 this::status,
                 new MetricsPrinter(metrics),
                 this::trace,
-                loopResources);
+                loopResources,
+                memory.requestHeads());
         feeds = new PlatformFeeds(settings, driver, seed, clock);
         publicationReader = environment.createPublicationReader(settings, driver, loopResources);
         peerEndpoint = PeerEndpoints.create(settings, driver, metrics, crossings, eventLoopGroup);
