Relay loads as soon as before to those that ask for them

Loads that are older make servers elsewhere seem full.

Change: the interval of relays is again that of urgent observations; it is saved by relaying to those that ask only.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
@@ -22,9 +22,6 @@
  */
 final class CrossingExchange {
 
-    /** The shortest time between two relays of single loads, in nanoseconds. */
-    private static final long LOAD_INTERVAL_NANOSECONDS = 50_000_000L;
-
     /** The maximum number of rooms in a digest. */
     private static final int MAXIMUM_ROOMS = 16;
 
@@ -82,11 +79,6 @@
         }
     }
 
-    /** Returns the shortest time between two relays of loads, in nanoseconds. */
-    long relayIntervalNanoseconds(long shortest) {
-        return enabled ? Math.max(LOAD_INTERVAL_NANOSECONDS, shortest) : shortest;
-    }
-
     /** Returns whether a digest for other data centres has space for the rooms of this one. */
     static boolean hasSpaceIn(FleetDigest digest) {
         return digest.crashes().isEmpty()
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -174,8 +174,7 @@
         }
         relay.askIfDue(now, sink);
         if (observations.hasUrgentRemote()) {
-            long shortest = Math.min(interval, ObservationRelay.INTERVAL_NANOSECONDS);
-            relay.relayIfDue(crossings.relayIntervalNanoseconds(shortest), now, sink);
+            relay.relayIfDue(Math.min(interval, ObservationRelay.INTERVAL_NANOSECONDS), now, sink);
         }
     }
 
@@ -310,7 +309,7 @@
         FleetDigest digest = composer.compose(
                 Content.remote(requestLimits.next(now), peers.bridges().namedMembers(), peers.repeatsSuspicions(now)),
                 now);
-        if (CrossingExchange.hasSpaceIn(digest)) {
+        if (!crossings.enabled() || CrossingExchange.hasSpaceIn(digest)) {
             send(due, crossings.completeRemote(digest, now), now, sink);
             return;
         }
