--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -181,8 +181,7 @@
         }
         relay.askIfDue(now, sink);
         if (observations.hasUrgentRemote()) {
-            long shortest = Math.min(interval, ObservationRelay.INTERVAL_NANOSECONDS);
-            relay.relayIfDue(crossings.relayIntervalNanoseconds(shortest), now, sink);
+            relay.relayIfDue(Math.min(interval, ObservationRelay.INTERVAL_NANOSECONDS), now, sink);
         }
     }
 
@@ -316,11 +315,18 @@
         if (due.isEmpty()) {
             return;
         }
+<<<<<<< HEAD
         Content content = Content.remote(
                         requestLimits.next(now), peers.bridges().namedMembers(), peers.repeatsSuspicions(now))
                 .withWarmUps(warmUps.pollRemote(now));
         FleetDigest digest = composer.compose(content, now);
         if (CrossingExchange.hasSpaceIn(digest)) {
+=======
+        FleetDigest digest = composer.compose(
+                Content.remote(requestLimits.next(now), peers.bridges().namedMembers(), peers.repeatsSuspicions(now)),
+                now);
+        if (!crossings.enabled() || CrossingExchange.hasSpaceIn(digest)) {
+>>>>>>> lane-crossing
             send(due, crossings.completeRemote(digest, now), now, sink);
             return;
         }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -486,11 +486,7 @@
 
     /** Lets a backend server turn a request away and ask for rest. */
     private void turnAway(String host, long attempt, SimulatedBackendServer server) {
-        long restNanoseconds = server.restMilliseconds * FleetNetwork.NANOSECONDS_PER_MILLISECOND;
-        server.rests.add(new SimulatedBackendServer.Rest(
-                new HostNumber(host, attempt), milliseconds(), server.restMilliseconds));
-        Event.AnswerHead head =
-                new Event.AnswerHead(503, true, false, server.report(), false, server.limit, restNanoseconds);
+        Event.AnswerHead head = server.turnAway(new HostNumber(host, attempt), milliseconds());
         network.scheduleEvent(host, new Event.AnswerStarted(attempt, head), 1);
     }
 
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedBackendServer.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/SimulatedBackendServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.chivecourse.coordination.event.Event;
 import org.chivecourse.state.server.LoadReport;
 import org.chivecourse.state.server.RequestLimit;
 
@@ -110,6 +111,13 @@
         }
     }
 
+    /** Turns a request away and asks its gateway for rest. */
+    Event.AnswerHead turnAway(HostNumber attempt, long at) {
+        rests.add(new Rest(attempt, at, restMilliseconds));
+        long restNanoseconds = restMilliseconds * FleetNetwork.NANOSECONDS_PER_MILLISECOND;
+        return new Event.AnswerHead(503, true, false, report(), false, limit, restNanoseconds);
+    }
+
     /** Counts a request or probe of a gateway in the rests that it was asked for. */
     void countInRests(String host, long at) {
         for (Rest rest : rests) {
