--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
@@ -83,7 +83,8 @@
     static boolean hasSpaceIn(FleetDigest digest) {
         return digest.crashes().isEmpty()
                 && digest.answeredRequests().isEmpty()
-                && digest.limitReports().isEmpty();
+                && digest.limitReports().isEmpty()
+                && digest.warmUps().isEmpty();
     }
 
     /** Audits the services whose calls begin or cease to have a reason to leave their data centre. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestSchedule.java
@@ -315,18 +315,11 @@
         if (due.isEmpty()) {
             return;
         }
-<<<<<<< HEAD
         Content content = Content.remote(
                         requestLimits.next(now), peers.bridges().namedMembers(), peers.repeatsSuspicions(now))
                 .withWarmUps(warmUps.pollRemote(now));
         FleetDigest digest = composer.compose(content, now);
-        if (CrossingExchange.hasSpaceIn(digest)) {
-=======
-        FleetDigest digest = composer.compose(
-                Content.remote(requestLimits.next(now), peers.bridges().namedMembers(), peers.repeatsSuspicions(now)),
-                now);
         if (!crossings.enabled() || CrossingExchange.hasSpaceIn(digest)) {
->>>>>>> lane-crossing
             send(due, crossings.completeRemote(digest, now), now, sink);
             return;
         }
