Forget statements of warm-ups that nobody needs, and bound what a registry keeps

Cause: a warm backend server that went on saying so was reported in turn for ever (ColdServerTest.forgetsStatementsThatNobodyNeeds failed), a statement older than 10 minutes would have made others reject the whole digest, and removed servers stayed in the sets of a gateway without peers. Change: a statement is reported while the server is cold by it, at most 5 minutes, or for 2 s after it changed something. Refusals name how many backend servers are cold. Scans look only at services with a warm-up. ColdServerTest also covers a data centre that gets requests again, from its first moment.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/FinalAnswers.java
@@ -85,6 +85,10 @@
                     .filter(server -> server.allowance().limited(now))
                     .count();
             text.append(limited == 0 ? "" : ", " + limited + " of them limit their requests");
+            long cold = service.servers().stream()
+                    .filter(server -> server.warmUp().limited(now))
+                    .count();
+            text.append(cold == 0 ? "" : ", " + cold + " of them are cold");
         }
         return text.toString();
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/warmup/WarmUpRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/warmup/WarmUpRegistry.java
@@ -25,6 +25,9 @@
     /** The age up to which statements are repeated to other gateways, in nanoseconds. */
     private static final long REPETITION_NANOSECONDS = 2_000_000_000L;
 
+    /** The age from which no statement is reported, in nanoseconds; other gateways do not take much older ones. */
+    private static final long MAXIMUM_AGE_NANOSECONDS = 300_000_000_000L;
+
     /** The services of the configuration in force. */
     private final ServiceRegistry services;
 
@@ -109,12 +112,9 @@
      * @param cause why, for the audit record
      */
     public void assumeCold(String dataCentre, String cause, long now) {
-        for (ServiceState service : services.all()) {
-            for (ServerState server : service.servers()) {
-                if (service.service().warmUp().required()
-                        && server.server().dataCentre().equals(dataCentre)) {
-                    server.warmUp().assumeCold(now, cause);
-                }
+        for (ServerState server : servers()) {
+            if (server.server().dataCentre().equals(dataCentre)) {
+                server.warmUp().assumeCold(now, cause);
             }
         }
     }
@@ -145,22 +145,36 @@
             return;
         }
         scannedAt = now;
-        audited.removeIf(server -> services.server(server.identity()) != server);
-        recordNews();
-        if (inTouch) {
-            services.all()
-                    .forEach(service ->
-                            service.servers().forEach(server -> server.warmUp().recordTouch()));
-        }
+        forgetOutdated(now);
+        List<ServerState> servers = servers();
+        recordNews(servers);
         Set<ServerState> found = new LinkedHashSet<>();
+        servers.forEach(server -> scan(server, found, now, sink));
+        cold = found;
+    }
+
+    /** Returns the backend servers of the services that configure a warm-up. */
+    private List<ServerState> servers() {
+        List<ServerState> servers = new ArrayList<>();
         for (ServiceState service : services.all()) {
             if (service.service().warmUp().required()) {
-                for (ServerState server : service.servers()) {
-                    scan(server, found, now, sink);
-                }
+                servers.addAll(service.servers());
             }
         }
-        cold = found;
+        return servers;
+    }
+
+    /** Forgets backend servers that are gone, and statements that nobody needs any more. */
+    private void forgetOutdated(long now) {
+        audited.removeIf(this::gone);
+        for (Set<ServerState> reported : List.of(pendingLocal, pendingRemote, repeated)) {
+            reported.removeIf(server -> gone(server) || !worthReporting(server, now));
+        }
+    }
+
+    /** Returns whether a backend server is gone, or has been replaced by another process. */
+    private boolean gone(ServerState server) {
+        return services.server(server.identity()) != server;
     }
 
     /** Checks whether a backend server is cold, and audits a change. */
@@ -198,22 +212,22 @@
     }
 
     /**
-     * Records for backend servers elsewhere that their data centre is in touch, as its gateways report any that turns
-     * cold.
+     * Records that gateways in touch with this one would have told it of cold backend servers, and for those elsewhere
+     * that their data centre is in touch.
      */
-    private void recordNews() {
+    private void recordNews(List<ServerState> servers) {
         Map<String, Long> newsAt = new HashMap<>();
-        List<ServerState> remote = new ArrayList<>();
-        for (ServiceState service : services.all()) {
-            for (ServerState server : service.servers()) {
-                if (!server.local()) {
-                    remote.add(server);
-                    newsAt.merge(server.server().dataCentre(), server.warmUp().heardAt(), Math::max);
-                }
+        for (ServerState server : servers) {
+            newsAt.merge(server.server().dataCentre(), server.warmUp().heardAt(), Math::max);
+        }
+        for (ServerState server : servers) {
+            if (inTouch) {
+                server.warmUp().recordTouch();
+            }
+            if (!server.local()) {
+                server.warmUp().recordNews(newsAt.get(server.server().dataCentre()));
             }
         }
-        remote.forEach(
-                server -> server.warmUp().recordNews(newsAt.get(server.server().dataCentre())));
     }
 
     /** Returns the cold backend servers at the last scan. */
@@ -265,7 +279,7 @@
 
     /** Returns pending reports, which are removed, and repeated ones in rotation. */
     private List<WarmUpReport> poll(Set<ServerState> pending, int maximum, long now) {
-        repeated.removeIf(server -> services.server(server.identity()) != server || !worthRepeating(server, now));
+        forgetOutdated(now);
         Set<ServerState> chosen = new LinkedHashSet<>();
         take(pending, chosen, maximum);
         Set<ServerState> rotated = new LinkedHashSet<>();
@@ -290,10 +304,12 @@
         }
     }
 
-    /** Returns whether a statement is recent, or the backend server is still cold by it. */
-    private static boolean worthRepeating(ServerState server, long now) {
+    /** Returns whether a statement changed something recently, or the backend server is still cold by it. */
+    private static boolean worthReporting(ServerState server, long now) {
         ServerWarmUp warmUp = server.warmUp();
-        return now - warmUp.statedAt() < Math.max(REPETITION_NANOSECONDS, warmUp.statedRemaining());
+        long age = now - warmUp.statedAt();
+        boolean stillCold = age < Math.min(MAXIMUM_AGE_NANOSECONDS, warmUp.statedRemaining());
+        return stillCold || now - warmUp.changedAt() < REPETITION_NANOSECONDS;
     }
 
     /** Returns the number of requests that were sent to cold backend servers. */
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerWarmUp.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerWarmUp.java
@@ -55,6 +55,9 @@
     /** The time for which it stayed cold by that statement. */
     private long statedRemaining;
 
+    /** The time of the last own statement that changed something. */
+    private long changedAt = LONG_AGO;
+
     /** The time at which this host last assumed that it is cold. */
     private long assumedAt = LONG_AGO;
 
@@ -143,6 +146,7 @@
         statedRemaining = remaining;
         coldUntil = until;
         cause = changed ? source : cause;
+        changedAt = changed ? at : changedAt;
         return changed;
     }
 
@@ -327,6 +331,11 @@
         return statedAt;
     }
 
+    /** Returns the time of the last own statement that changed something. */
+    public long changedAt() {
+        return changedAt;
+    }
+
     /** Returns the time for which it stayed cold by its newest own statement, zero if it was warm. */
     public long statedRemaining() {
         return statedRemaining;
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/ColdServerTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/ColdServerTest.java
@@ -1,6 +1,8 @@
 package org.chivecourse.coordination.fleet;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -9,6 +11,7 @@
 import java.util.function.LongConsumer;
 import org.chivecourse.configuration.model.WarmUp;
 import org.chivecourse.coordination.decision.Decision;
+import org.chivecourse.coordination.warmup.WarmUpRegistry;
 import org.junit.jupiter.api.Test;
 
 /** Guards against cold backend servers that get more requests, over all gateways together, than they bear. */
@@ -123,6 +126,43 @@
         }
     }
 
+    @Test
+    void keepsBoundFromStartOfDataCentreThatGetsRequestsAgain() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            BackendSimulation simulation = simulation(GATEWAYS, seed);
+            simulation.requestsPerSecond = BURST_REQUESTS_PER_SECOND;
+            simulation.run(COLD_MILLISECONDS, elapsed -> {
+                if (elapsed == 1000) {
+                    for (int number = 0; number < SERVERS; number += 3) {
+                        simulation.statements().turnCold("i" + number, simulation.now(), COLD_MILLISECONDS);
+                    }
+                    simulation
+                            .network()
+                            .cores()
+                            .forEach(core -> core.services()
+                                    .warmUps()
+                                    .assumeCold(
+                                            "dc-0",
+                                            "taken back",
+                                            simulation.network().now()));
+                }
+            });
+            assertBorne(simulation, seed);
+        }
+    }
+
+    @Test
+    void forgetsStatementsThatNobodyNeeds() {
+        BackendSimulation simulation = simulation(1, 1);
+        simulation.statements().turnCold("i0", simulation.now(), COLD_MILLISECONDS);
+        WarmUpRegistry warmUps = simulation.network().core(0).services().warmUps();
+        simulation.run(1000, elapsed -> {});
+        assertThat(warmUps.hasLocal(), equalTo(true));
+        simulation.run(COLD_MILLISECONDS + 2500, elapsed -> {});
+        assertThat(warmUps.hasLocal(), equalTo(false));
+        assertThat(warmUps.pollRemote(SERVERS, simulation.network().now()), empty());
+    }
+
     @Test
     void sendsToColdServersFromSingleGateway() {
         BackendSimulation simulation = simulation(1, 1);
