--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadProfile.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadProfile.java
@@ -59,6 +59,18 @@
                     new Kind("lookups", 0.72, 331, 805, 2500, 2508, true, 2, 1),
                     new Kind("orders", 0.28, 421, 1010, 3000, 3021, false, 1, 2)));
 
+    /** Reads and commands of measuring stations at backend servers with three slots. */
+    static final LoadProfile STATIONS = new LoadProfile(
+            3,
+            6,
+            false,
+            2,
+            0.17,
+            2,
+            List.of(
+                    new Kind("readings", 0.63, 190, 634, 3000, 6338, true, 2, 1),
+                    new Kind("commands", 0.37, 250, 839, 4000, 8391, false, 1, 2)));
+
     /**
      * A kind of requests.
      *
