Name the data centres of simulated backend servers

Cause: RequestLimitTest.keepsLimitOfServerWhoseDataCentreHasNoGateway failed since calls are kept in their data centre: the simulation read a server's data centre from the digits of its name, and one there has none (NumberFormatException).

Change: the simulation keeps the data centre that each server is started in.

--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -59,6 +59,8 @@
 
     private final Map<String, SimulatedBackendServer> servers = new LinkedHashMap<>();
 
+    private final Map<String, String> dataCentres = new HashMap<>();
+
     private final Map<HostNumber, Decision.Send> sends = new HashMap<>();
 
     private final Map<HostNumber, Long> arrivals = new HashMap<>();
@@ -127,6 +129,7 @@
     /** Starts a backend server. */
     void startServer(String identity, String dataCentre) {
         servers.put(identity, new SimulatedBackendServer());
+        dataCentres.put(identity, dataCentre);
         network.publish(TextDecoder.server(identity, 0, "ready", dataCentre));
     }
 
@@ -445,7 +448,8 @@
                 && disturbedUntil.getOrDefault(host, 0L) <= milliseconds()
                 && milliseconds() - server.limitedSince >= ADAPTATION_MILLISECONDS;
         server.receive(new SimulatedBackendServer.Request(milliseconds(), counted));
-        crossed += dataCentreOf(host) == dataCentreOf(send.address()) ? 0 : 1;
+        boolean local = dataCentreOf(host).equals(dataCentres.get(send.address()));
+        crossed += local ? 0 : 1;
         long arrivedAt = arrivals.get(new HostNumber(host, send.call()));
         boolean toldInTime =
                 arrivedAt - server.toldLeavingAt.getOrDefault(host, Long.MAX_VALUE / 2) > DRAIN_MILLISECONDS;
@@ -483,8 +487,8 @@
         network.scheduleEvent(host, new Event.AnswerStarted(attempt, head), 1);
     }
 
-    private static int dataCentreOf(String name) {
-        return Integer.parseInt(name.replaceAll("\\D", "")) % 3;
+    private static String dataCentreOf(String host) {
+        return "dc-" + Integer.parseInt(host.substring(host.indexOf('-') + 1)) % 3;
     }
 
     private void later(long delayMilliseconds, Runnable action) {
