Refuse answers whose status is none before they are decoded

Cause: only statuses below 200 were refused, and the HTTP library reads any whole number with a sign and of any length as a status. 600, 999, 2000, +200, 0200, 200 without the space after it and 200 after two spaces reached the caller.

Change: StatusLineGuard reads the status lines of each answer, informational ones included, on connections to backend servers, other gateways and the publisher, and closes the connection.

Health checks, probes and the way between gateways have the guard but no test of their own.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/InboundGuards.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/InboundGuards.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import org.chivecourse.transport.head.HeadLimits;
 import org.chivecourse.transport.head.HeadRefusal;
+import org.chivecourse.transport.head.StatusLineGuard;
 
 /** Adds to connections the handlers that bound what the other side can make this gateway do by the bytes it writes. */
 final class InboundGuards {
@@ -20,6 +21,7 @@
         StrayBytesGuard.addTo(channel);
         ContentMerger.addTo(channel);
         FramingOverheadGuard.addTo(channel, 0);
+        StatusLineGuard.addTo(channel);
         heads.addToClient(channel);
     }
 
