--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/ObservationRelay.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/ObservationRelay.java
@@ -95,8 +95,8 @@
             warmUps.discardRemote();
             return;
         }
-        List<WarmUpReport> warmUpReports = warmUps.hasRemote() ? warmUps.pollRemote(now) : List.of();
         List<Observation> observed = observations.pollRemote();
+        List<WarmUpReport> warmUpReports = warmUpReports(observed, now);
         Map<List<Observation>, List<FleetPeer>> recipientsByContent = new LinkedHashMap<>();
         for (FleetPeer recipient : recipients) {
             String dataCentre = recipient.member().dataCentre();
@@ -121,6 +121,12 @@
         });
     }
 
+    /** Returns the reports of warm-ups to relay, which are repeated beside observations for all data centres. */
+    private List<WarmUpReport> warmUpReports(List<Observation> observed, long now) {
+        boolean repeated = !observed.isEmpty() && !crossings.enabled();
+        return repeated || warmUps.hasRemote() ? warmUps.pollRemote(now) : List.of();
+    }
+
     /** Returns the addresses of gateways, whose next regular digest stays due: it holds what a relay does not. */
     private static List<String> addresses(List<FleetPeer> others) {
         return others.stream().map(peer -> peer.member().address()).toList();
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -459,7 +459,7 @@
                 && disturbedUntil.getOrDefault(host, 0L) <= milliseconds()
                 && milliseconds() - server.limitedSince >= ADAPTATION_MILLISECONDS;
         server.receive(new SimulatedBackendServer.Request(milliseconds(), counted));
-        boolean local = dataCentreOf(host).equals(dataCentres.get(send.address()));
+        boolean local = HostNumber.dataCentreOf(host).equals(dataCentres.get(send.address()));
         crossed += local ? 0 : 1;
         long arrivedAt = arrivals.get(new HostNumber(host, send.call()));
         boolean toldInTime =
@@ -494,10 +494,6 @@
         network.scheduleEvent(host, new Event.AnswerStarted(attempt, head), 1);
     }
 
-    private static String dataCentreOf(String host) {
-        return "dc-" + Integer.parseInt(host.substring(host.indexOf('-') + 1)) % 3;
-    }
-
     private void later(long delayMilliseconds, Runnable action) {
         timers.schedule(milliseconds() + delayMilliseconds, action);
     }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/HostNumber.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/HostNumber.java
@@ -6,4 +6,10 @@
  * @param host the name of the gateway
  * @param number the number
  */
-record HostNumber(String host, long number) {}
+record HostNumber(String host, long number) {
+
+    /** Returns the data centre of a gateway by its name. */
+    static String dataCentreOf(String host) {
+        return "dc-" + Integer.parseInt(host.substring(host.indexOf('-') + 1)) % 3;
+    }
+}
