Count the word that a server is warm from when it was asked

The tolerance for rounded ages of other gateways' reports applied to a gateway's own checks, too.

Change: that a server is warm counts from the time at which the check was sent; the tolerance applies to reports alone.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/host/ServerMonitor.java
@@ -171,13 +171,14 @@
 
     /**
      * Records for how long a backend server says that it stays cold. That it is warm counts only in the answer of one
-     * that serves.
+     * that serves, and from when it was asked: it may have turned cold since then.
      */
     private void recordWarmUp(ServerState server, Event.ProbeEnded ended, long now) {
         Long remaining = ended.warmUpNanoseconds();
         boolean counts = ended.finding() == ProbeFinding.SERVING || remaining != null && remaining > 0;
         if (counts && ended.finding() != ProbeFinding.OTHER_SERVER) {
-            services.warmUps().recordStatement(server, remaining, now);
+            boolean warm = remaining != null && remaining == 0;
+            services.warmUps().recordStatement(server, remaining, warm ? now - ended.nanoseconds() : now);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerWarmUp.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerWarmUp.java
@@ -131,7 +131,7 @@
      * @return {@code true} if other hosts have to be told
      */
     public boolean recordStatement(long remaining, long at, String source) {
-        if (at - statedAt < 0 || at - assumedAt < -ROUNDING_NANOSECONDS) {
+        if (at - statedAt < 0 || at - assumedAt < 0) {
             return false;
         }
         boolean coldBefore = cold(at);
@@ -164,7 +164,10 @@
         boolean colder = remaining > 0
                 && at - statedAt >= -REPETITION_NANOSECONDS
                 && at + remaining - coldUntil > REPETITION_NANOSECONDS;
-        return (newer || colder) && recordStatement(remaining, Math.max(at, statedAt), source);
+        boolean afterAssumption = at - assumedAt >= -ROUNDING_NANOSECONDS;
+        return (newer || colder)
+                && afterAssumption
+                && recordStatement(remaining, Math.max(at, Math.max(statedAt, assumedAt)), source);
     }
 
     /**
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/fleet/BackendSimulation.java
@@ -374,7 +374,7 @@
                             probe.address(),
                             true,
                             server.report(),
-                            0,
+                            2 * FleetNetwork.NANOSECONDS_PER_MILLISECOND,
                             ProbeFinding.SERVING,
                             server.limit,
                             0,
