Charge a head by its own lines and bytes

Cause, found by a review: what arrived with a head was charged as the head, a body's first bytes too, so that some hundred open requests with bodies would have refused others; a head behind the end of a body in the same read was not charged.

Change: once a head is decoded, its own cost takes the place of what was reserved while it arrived, and goes by the same limits.

Evidence: two new cases of HeadMemoryGuardTest failed before and pass with the other seven.

--- a/chivecourse-core/src/main/java/org/chivecourse/transport/head/HeadCost.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/head/HeadCost.java
@@ -1,5 +1,10 @@
 package org.chivecourse.transport.head;
 
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.Iterator;
+import java.util.Map;
+
 /**
  * The lines and bytes of a head, and what they cost in memory once they are decoded.
  *
@@ -17,6 +22,23 @@
     /** The copies of each byte: as it was decoded, and as it is forwarded. */
     private static final long COPIES = 2;
 
+    /** The characters of a field beside its name and value: the colon, a space and the line end. */
+    private static final int CHARACTERS_BESIDE_FIELD = 4;
+
+    /** The lines of a head beside its fields: the first one and the empty one. */
+    private static final int LINES_BESIDE_FIELDS = 2;
+
+    /** Returns the cost of a head that has been decoded. */
+    static HeadCost of(HttpMessage head) {
+        long bytes = head instanceof HttpRequest request ? request.uri().length() : 0;
+        Iterator<Map.Entry<CharSequence, CharSequence>> fields = head.headers().iteratorCharSequence();
+        while (fields.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> field = fields.next();
+            bytes += field.getKey().length() + field.getValue().length() + CHARACTERS_BESIDE_FIELD;
+        }
+        return new HeadCost(head.headers().size() + LINES_BESIDE_FIELDS, bytes);
+    }
+
     /** Returns the sum of this cost and further lines and bytes. */
     HeadCost plus(long furtherLines, long furtherBytes) {
         return new HeadCost(lines + furtherLines, bytes + furtherBytes);
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/head/HeadMemoryGuard.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/head/HeadMemoryGuard.java
@@ -28,9 +28,6 @@
     /** The byte that ends a line. */
     private static final byte LINE_FEED = '\n';
 
-    /** The lines of a decoded head beside its fields: the first one and the empty one. */
-    private static final int LINES_BESIDE_FIELDS = 2;
-
     /** The lines that a chunk of a body has: its size, and the end of its content. */
     private static final int LINES_PER_CHUNK = 2;
 
@@ -64,6 +61,12 @@
     /** Whether a message has been decoded from the buffer that is being read. */
     private boolean decodedAny;
 
+    /** Whether a head has been decoded from the buffer that is being read. */
+    private boolean headInRead;
+
+    /** The place before the handler that decodes, at which refusals are written. */
+    private ChannelHandlerContext arrivingContext;
+
     /** Whether the body of a message arrives. */
     private boolean inBody;
 
@@ -106,8 +109,9 @@
                     return;
                 }
                 decodedAny = true;
-                if (message instanceof HttpMessage head) {
-                    recordHead(head);
+                if (message instanceof HttpMessage head && !recordHead(head)) {
+                    ReferenceCountUtil.release(message);
+                    return;
                 }
                 if (message instanceof HttpContent content) {
                     recordContent(content);
@@ -142,6 +146,7 @@
         readLines = countLines(buffer);
         unexplainedLines = readLines;
         decodedAny = false;
+        headInRead = false;
         if (!inBody && !setArriving(context, arriving.plus(readLines, bytes))) {
             buffer.release();
             return;
@@ -198,16 +203,30 @@
         refusal.refuse(context, reason, answerable);
     }
 
-    /** Moves the memory of a head that has been decoded from what arrives to its exchange. */
-    private void recordHead(HttpMessage head) {
-        long fieldLines = head.headers().size() + LINES_BESIDE_FIELDS;
-        unexplainedLines = Math.min(readLines, Math.max(0, arriving.lines() - fieldLines));
-        HeadCost cost = new HeadCost(arriving.lines() - unexplainedLines, arriving.bytes());
+    /**
+     * Reserves the memory of a decoded head until its exchange ends, in place of what was reserved while it arrived:
+     * that may count a part of its body, and does not count a head behind the end of another body.
+     *
+     * @return {@code false} if it goes beyond the limits, in which case the connection ends
+     */
+    private boolean recordHead(HttpMessage head) {
+        HeadCost cost = HeadCost.of(head);
+        long lines = headInRead ? unexplainedLines : Math.max(arriving.lines(), unexplainedLines);
+        headInRead = true;
+        unexplainedLines = Math.min(readLines, Math.max(0, lines - cost.lines()));
         arriving = new HeadCost(unexplainedLines, 0);
-        arrivingMemory -= cost.memory();
+        long kept = Math.min(arrivingMemory, arriving.memory());
+        limits.budget().release(arrivingMemory - kept);
+        arrivingMemory = kept;
+        boolean tooManyLines = cost.lines() > limits.maximumLines();
+        if (tooManyLines || !limits.budget().reserve(arrivingMemory + decodedMemory, cost.memory())) {
+            refuse(arrivingContext, tooManyLines ? Reason.HEAD_TOO_LARGE : Reason.HEADS_FULL);
+            return false;
+        }
         decoded.addLast(cost.memory());
         decodedMemory += cost.memory();
         inBody = true;
+        return true;
     }
 
     /** Records a part of a body, whose lines are none of a head. */
@@ -232,6 +251,11 @@
         }
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        arrivingContext = context;
+    }
+
     @Override
     public void handlerRemoved(ChannelHandlerContext context) {
         closed = true;
--- a/chivecourse-core/src/test/java/org/chivecourse/transport/head/HeadMemoryGuardTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/transport/head/HeadMemoryGuardTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -12,6 +13,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -126,6 +128,33 @@
         assertThat(held(), lessThan(1000L));
     }
 
+    /** Callers that send a head and its body at once came closer to a refusal by each open request. */
+    @Test
+    void holdsNoBodyThatArrivesWithItsHead() {
+        EmbeddedChannel channel = open();
+        write(channel, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 8000\r\n\r\n" + "x".repeat(8000));
+        assertThat(held(), lessThan(2000L));
+        answer(channel);
+        assertThat(held(), equalTo(0L));
+    }
+
+    /** A head that arrives in the same read as the end of a body was not counted at all. */
+    @Test
+    void holdsHeadBehindEndOfBody() {
+        EmbeddedChannel channel = open();
+        write(channel, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n");
+        long first = held();
+        write(channel, "x" + START + "a:\r\n".repeat(100) + "\r\n");
+        assertThat(held(), greaterThan(first + 20_000));
+        answer(channel);
+        answer(channel);
+        assertThat(held(), equalTo(0L));
+        write(channel, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n");
+        writeBesideUnansweredRequest(channel, "x" + START + "a:\r\n".repeat(MAXIMUM_LINES) + "\r\n");
+        assertThat(channel.isOpen(), equalTo(false));
+        assertThat(held(), equalTo(0L));
+    }
+
     @Test
     void refusesHeadOfTooManyLines() {
         EmbeddedChannel channel = open();
@@ -160,12 +189,17 @@
     void closesWithoutAnswerBesideUnansweredRequest() {
         EmbeddedChannel channel = open();
         write(channel, START + "\r\n");
+        writeBesideUnansweredRequest(channel, START + "a:\r\n".repeat(MAXIMUM_LINES));
+        assertThat(channel.isOpen(), equalTo(false));
+        assertThat(readAnswer(channel), equalTo(""));
+    }
+
+    private static void writeBesideUnansweredRequest(EmbeddedChannel channel, String text) {
         try {
-            write(channel, START + "a:\r\n".repeat(MAXIMUM_LINES));
-        } catch (RuntimeException exception) {
+            write(channel, text);
+        } catch (Exception exception) {
             // The pipeline of the test has no handler of failures.
+            assertThat(exception, instanceOf(TooLongFrameException.class));
         }
-        assertThat(channel.isOpen(), equalTo(false));
-        assertThat(readAnswer(channel), equalTo(""));
     }
 }
