Let calls behind one that waits for room nearby go on

Cause, found by a review: a call that waits some milliseconds for room in its data centre held up those behind it that could have left already; a retry went to the server that had just failed, in place of one elsewhere; a relay whose own links are lost stated that its data centre has no room, a small rate of room was rounded to none, and many long names of services made a datagram too large.

Change: the launch goes on behind such a call; only first attempts wait; such a relay states nothing; rates are rounded up; the names in a digest are bounded.

Evidence: CrossingFleetTest and LeavingRuleTest pass as before. None of the five has a test of its own yet.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
@@ -127,17 +127,20 @@
 
     /**
      * Starts attempts of the calls that wait for a service, suspected ones first, until no backend server may take the
-     * next one.
+     * next one. A call that still waits for room nearby does not hold up those behind it, which may leave.
      */
     void launchWaiting(ServiceState service, long now, DecisionSink sink) {
         launchSuspected(service, now, sink);
-        while (service.waitingCalls().size() > 0) {
+        List<CallState> postponed = new ArrayList<>();
+        boolean launching = true;
+        while (launching && service.waitingCalls().size() > 0) {
             CallState call = service.waitingCalls().poll();
             if (!tryLaunch(service, call, now, sink)) {
-                service.waitingCalls().offer(call);
-                return;
+                postponed.add(call);
+                launching = NearbySelection.waitsForRoom(service, call, now);
             }
         }
+        postponed.forEach(service.waitingCalls()::offer);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/NearbySelection.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/NearbySelection.java
@@ -38,6 +38,14 @@
         return false;
     }
 
+    /** Returns whether a call that has not been tried waits for room in its data centre before it may leave. */
+    static boolean waitsForRoom(ServiceState service, CallState call, long now) {
+        ServiceCrossing crossing = service.crossing();
+        return crossing != null
+                && call.attempts().isEmpty()
+                && now - call.terms().firstSentAt() < crossing.patienceNanoseconds();
+    }
+
     /** Returns whether a backend server is in service, and neither ejected nor unreachable. */
     private static boolean answers(ServerState server, long now) {
         return server.leavingCause() == LeavingCause.NONE
@@ -59,7 +67,8 @@
         long waited = now - call.terms().firstSentAt();
         double work = service.workTimes()
                 .nanoseconds(call.terms().route(), call.terms().targetLatencyNanoseconds());
-        if (LeavingRule.INSTANCE.stays(localNanoseconds, toTarget, work, waited, crossing.patienceNanoseconds())) {
+        long patience = call.attempts().isEmpty() ? crossing.patienceNanoseconds() : 0;
+        if (LeavingRule.INSTANCE.stays(localNanoseconds, toTarget, work, waited, patience)) {
             return local;
         }
         if (local == null) {
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/crossing/RoomSummary.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/crossing/RoomSummary.java
@@ -49,7 +49,7 @@
                 sparePerSecond += free * (1 - KEPT_SHARE) * NANOSECONDS_PER_SECOND / workNanoseconds(server, now);
             }
         }
-        int spare = (int) (sparePerSecond / Math.max(1, needing));
+        int spare = (int) Math.ceil(sparePerSecond / Math.max(1, needing));
         return any ? new Room(service, slots, (int) Math.round(inFlight), spare, now) : null;
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
@@ -28,6 +28,9 @@
     /** The maximum number of characters of the needed services that a digest names. */
     private static final int MAXIMUM_NEEDS_CHARACTERS = 120;
 
+    /** The maximum length of the names of the services whose room a digest tells, in characters. */
+    private static final int MAXIMUM_ROOM_CHARACTERS = 360;
+
     /** The other gateways of the fleet. */
     private final FleetPeers peers;
 
@@ -169,8 +172,13 @@
     /** Returns the room of this data centre for each service that has backend servers in it. */
     private List<Room> rooms(long now) {
         List<Room> rooms = new ArrayList<>();
+        int characters = 0;
         for (ServiceState service : services.all()) {
             String name = service.service().name();
+            characters += name.length();
+            if (characters > MAXIMUM_ROOM_CHARACTERS || service.links().lost()) {
+                continue;
+            }
             int needing = wanted.countNeeding(peers.self().dataCentre(), name, now);
             Room room = RoomSummary.INSTANCE.of(name, service.serversInUse(), needing, now);
             if (room != null && rooms.size() < MAXIMUM_ROOMS) {
