Let one piece of code reserve memory, and one say which servers answer

Change: ByteReservation serves both budgets, RoomSummary.answers both askers, and the questions share their beginning. Behaviour stays as it is; no test is changed.

--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/NearbySelection.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/NearbySelection.java
@@ -4,9 +4,9 @@
 import java.util.function.Predicate;
 import org.chivecourse.coordination.choice.Candidates;
 import org.chivecourse.coordination.crossing.LeavingRule;
+import org.chivecourse.coordination.crossing.RoomSummary;
 import org.chivecourse.coordination.crossing.ServiceCrossing;
 import org.chivecourse.state.call.CallState;
-import org.chivecourse.state.server.LeavingCause;
 import org.chivecourse.state.server.ServerState;
 
 /** Selects backend servers of this data centre, and others only for calls that would miss their target latency here. */
@@ -30,7 +30,7 @@
             return false;
         }
         for (ServerState server : service.serversInUse()) {
-            if (server.local() && answers(server, now)) {
+            if (server.local() && RoomSummary.answers(server, now)) {
                 return true;
             }
         }
@@ -46,13 +46,6 @@
                 && now - call.terms().firstSentAt() < crossing.patienceNanoseconds();
     }
 
-    /** Returns whether a backend server is in service, and neither ejected nor unreachable. */
-    private static boolean answers(ServerState server, long now) {
-        return server.leavingCause() == LeavingCause.NONE
-                && !server.ejected(now)
-                && !server.condition().isUnreachable(now);
-    }
-
     /**
      * Chooses a backend server for a call, or returns {@code null} if none may take it now.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/crossing/RoomSummary.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/crossing/RoomSummary.java
@@ -41,7 +41,7 @@
                 continue;
             }
             any = true;
-            if (takesRequests(server, now)) {
+            if (answers(server, now) && !server.warmUp().cold(now)) {
                 double load = FinishEstimate.inFlight(server, 0, now);
                 slots += server.server().slots();
                 inFlight += load;
@@ -53,12 +53,11 @@
         return any ? new Room(service, slots, (int) Math.round(inFlight), spare, now) : null;
     }
 
-    /** Returns whether a backend server takes requests now. */
-    private static boolean takesRequests(ServerState server, long now) {
+    /** Returns whether a backend server is in service, and neither ejected nor unreachable. */
+    public static boolean answers(ServerState server, long now) {
         return server.leavingCause() == LeavingCause.NONE
                 && !server.ejected(now)
-                && !server.condition().isUnreachable(now)
-                && !server.warmUp().cold(now);
+                && !server.condition().isUnreachable(now);
     }
 
     /** Returns the time that a request takes on a backend server, in nanoseconds. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/CrossingExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.chivecourse.coordination.call.ServiceRegistry;
 import org.chivecourse.coordination.call.ServiceState;
 import org.chivecourse.coordination.crossing.RoomSummary;
@@ -190,22 +191,26 @@
 
     /** Returns whether some other data centre needs an observation. */
     private boolean neededElsewhere(Observation observation) {
-        if (!enabled || !observation.kind().urgent()) {
-            return true;
-        }
-        ServiceState service = services.serviceOf(observation.server());
-        return service != null
-                && wanted.countNeeding(
-                                peers.self().dataCentre(), service.service().name(), observation.observedAt())
-                        > 0;
+        String own = peers.self().dataCentre();
+        return needed(observation, service -> wanted.countNeeding(own, service, observation.observedAt()) > 0);
     }
 
     /** Returns whether a data centre needs an observation. */
     boolean neededBy(String dataCentre, Observation observation, long now) {
+        return needed(observation, service -> wanted.needs(dataCentre, service, now));
+    }
+
+    /**
+     * Returns whether an observation is needed: always, unless it is of a kind that only those need who ask for its
+     * service.
+     *
+     * @param wantsService whether a service is asked for
+     */
+    private boolean needed(Observation observation, Predicate<String> wantsService) {
         if (!enabled || !observation.kind().urgent()) {
             return true;
         }
         ServiceState service = services.serviceOf(observation.server());
-        return service != null && wanted.needs(dataCentre, service.service().name(), now);
+        return service != null && wantsService.test(service.service().name());
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/head/HeadBudget.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/head/HeadBudget.java
@@ -1,6 +1,6 @@
 package org.chivecourse.transport.head;
 
-import java.util.concurrent.atomic.AtomicLong;
+import org.chivecourse.transport.memory.ByteReservation;
 
 /**
  * The memory that the heads of all connections may take together. Connections whose heads are larger than ordinary ones
@@ -17,8 +17,8 @@
     /** The largest number of bytes that may be reserved. */
     private final long maximumBytes;
 
-    /** The number of bytes that are reserved. */
-    private final AtomicLong reservedBytes = new AtomicLong();
+    /** The bytes that are reserved. */
+    private final ByteReservation reservation = new ByteReservation();
 
     /**
      * Creates a budget of which nothing is reserved.
@@ -38,11 +38,7 @@
      */
     boolean reserve(long held, long bytes) {
         long limit = held + bytes <= ORDINARY_BYTES ? maximumBytes : maximumBytes / PARTS_FOR_LARGE_HEADS;
-        if (reservedBytes.addAndGet(bytes) <= limit) {
-            return true;
-        }
-        release(bytes);
-        return false;
+        return reservation.reserve(bytes, limit);
     }
 
     /**
@@ -51,11 +47,11 @@
      * @param bytes the number of bytes
      */
     void release(long bytes) {
-        reservedBytes.addAndGet(-bytes);
+        reservation.release(bytes);
     }
 
     /** Returns the number of bytes that are reserved. */
     long reservedBytes() {
-        return reservedBytes.get();
+        return reservation.reservedBytes();
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BufferBudget.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BufferBudget.java
@@ -1,6 +1,6 @@
 package org.chivecourse.transport.http;
 
-import java.util.concurrent.atomic.AtomicLong;
+import org.chivecourse.transport.memory.ByteReservation;
 
 /** The memory that the bodies which are kept whole may take together. */
 public final class BufferBudget {
@@ -8,8 +8,8 @@
     /** The largest number of bytes that may be reserved. */
     private final long maximumBytes;
 
-    /** The number of bytes that are reserved. */
-    private final AtomicLong reservedBytes = new AtomicLong();
+    /** The bytes that are reserved. */
+    private final ByteReservation reservation = new ByteReservation();
 
     /**
      * Creates a budget of which nothing is reserved.
@@ -27,11 +27,7 @@
      * @return {@code false} if there is not that much left, in which case nothing is reserved
      */
     boolean reserve(long bytes) {
-        if (reservedBytes.addAndGet(bytes) <= maximumBytes) {
-            return true;
-        }
-        release(bytes);
-        return false;
+        return reservation.reserve(bytes, maximumBytes);
     }
 
     /**
@@ -40,11 +36,11 @@
      * @param bytes the size of the body
      */
     void release(long bytes) {
-        reservedBytes.addAndGet(-bytes);
+        reservation.release(bytes);
     }
 
     /** Returns the number of bytes that are reserved. */
     long reservedBytes() {
-        return reservedBytes.get();
+        return reservation.reservedBytes();
     }
 }
--- /dev/null
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds the memory that connections take together. */
+package org.chivecourse.transport.memory;
