--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/ObservationRelay.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/ObservationRelay.java
@@ -97,6 +97,20 @@
         }
         List<Observation> observed = observations.pollRemote();
         List<WarmUpReport> warmUpReports = warmUpReports(observed, now);
+        if (crossings.enabled()) {
+            relayByNeed(recipients, observed, warmUpReports, now, sink);
+        } else if (!recipients.isEmpty() && (!observed.isEmpty() || !warmUpReports.isEmpty())) {
+            DigestSchedule.send(recipients, compose(observed, warmUpReports, now), now, sink);
+        }
+    }
+
+    /** Relays to each data centre the observations that it needs, and the reports of warm-ups to all. */
+    private void relayByNeed(
+            List<FleetPeer> recipients,
+            List<Observation> observed,
+            List<WarmUpReport> warmUpReports,
+            long now,
+            DecisionSink sink) {
         Map<List<Observation>, List<FleetPeer>> recipientsByContent = new LinkedHashMap<>();
         for (FleetPeer recipient : recipients) {
             String dataCentre = recipient.member().dataCentre();
@@ -110,15 +124,13 @@
         if (warmUpReports.isEmpty()) {
             recipientsByContent.remove(List.<Observation>of());
         }
-        recipientsByContent.forEach((needed, others) -> {
-            Content content = new Content(false, 0, needed, List.of(), 0, List.of(), warmUpReports, null);
-            FleetDigest digest = composer.compose(content, now);
-            if (crossings.enabled()) {
-                sink.decide(new Decision.SendFleetDigest(addresses(others), digest));
-            } else {
-                DigestSchedule.send(others, digest, now, sink);
-            }
-        });
+        recipientsByContent.forEach((needed, others) ->
+                sink.decide(new Decision.SendFleetDigest(addresses(others), compose(needed, warmUpReports, now))));
+    }
+
+    /** Composes a digest of observations and of reports of warm-ups. */
+    private FleetDigest compose(List<Observation> observed, List<WarmUpReport> warmUpReports, long now) {
+        return composer.compose(new Content(false, 0, observed, List.of(), 0, List.of(), warmUpReports, null), now);
     }
 
     /** Returns the reports of warm-ups to relay, which are repeated beside observations for all data centres. */
