--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/BackendAttempt.java
@@ -158,6 +158,7 @@
         Event.AnswerHead answer = send.forwarded()
                 ? readForwardedAnswerHead(status, headers)
                 : dialect.readAnswerHead(status, headers, exchange.refusalSignal());
+        registry.metrics().recordAnswer(send, answer);
         boolean identified = dialect.identifies(exchange.identifier(), headers);
         if (!send.forwarded() && (answer.refused() || !identified)) {
             BackendConnections.closeAfterAnswer(answering);
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/CallerExchange.java
@@ -317,7 +317,7 @@
         registry.log().logRefusal(request.identifier(), call, refusal, elapsedMilliseconds());
         emitAnswer(Mono.defer(() -> {
             announceCloseIfStopping();
-            registry.metrics().recordRefusal(refusal.outcome());
+            registry.metrics().recordRefusal(refusal);
             return writeRefusal(response, refusal, headOnly(), registry.dialect());
         }));
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMetrics.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ExchangeMetrics.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.Outcome;
+import org.chivecourse.coordination.event.Event;
 import org.chivecourse.transport.crossing.CrossingCause;
 import org.chivecourse.transport.crossing.CrossingMeter;
 
@@ -44,6 +45,9 @@
     /** The transfers that were ended because too many others were stalled. */
     private final Counter endedTransfers;
 
+    /** What choices of backend servers were based on and what came of them. */
+    private final ChoiceMetrics choices;
+
     /**
      * Creates the metrics and registers them.
      *
@@ -61,6 +65,7 @@
         forwardedCalls = registry.counter("calls.forwarded");
         takenCalls = registry.counter("calls.taken");
         endedTransfers = registry.counter("transfers.ended");
+        choices = new ChoiceMetrics(registry);
     }
 
     /**
@@ -76,11 +81,22 @@
             return;
         }
         sentAttempts.inc();
+        choices.recordAttempt(send);
         if (send.number() > 1) {
             retriedAttempts.inc();
         }
     }
 
+    /**
+     * Records the answer of a backend server, or of the gateway that a call was forwarded to.
+     *
+     * @param send the decision that started the attempt
+     * @param answer the header of the answer
+     */
+    void recordAnswer(Decision.Send send, Event.AnswerHead answer) {
+        choices.recordAnswer(send, answer);
+    }
+
     /** Records that another gateway forwarded a call to this one. */
     void recordTaking() {
         takenCalls.inc();
@@ -100,6 +116,16 @@
         (outcome == Outcome.NOT_RUN ? notRunCalls : unknownCalls).inc();
     }
 
+    /**
+     * Records that the gateway refused a call.
+     *
+     * @param refusal the answer
+     */
+    void recordRefusal(Decision.Refusal refusal) {
+        recordRefusal(refusal.outcome());
+        choices.recordRefusal(refusal.reason());
+    }
+
     /** Records that an answer was forwarded completely. */
     void recordDelivery() {
         deliveredCalls.inc();
