--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadSimulation.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/LoadSimulation.java
@@ -49,6 +49,8 @@
 
     private static final int DATA_CENTRES = 3;
 
+    private static final int ADDRESSES_PER_NETWORK = 250;
+
     /** The worth of a late answer, as a share of its full worth. */
     private static final double LATE_SHARE = 0.1;
 
@@ -69,6 +71,11 @@
 
     private final TreeMap<Long, List<Request>> returning = new TreeMap<>();
 
+    /** What choices were based on, and how many gateways made the same. */
+    final ChoiceStatistics choiceStatistics = new ChoiceStatistics();
+
+    private final Map<String, Integer> numberByAddress = new HashMap<>();
+
     private final List<Delivery> pendingDeliveries = new ArrayList<>();
 
     private final PeerCodec codec = new PeerCodec(MessageAuthenticator.Disabled.INSTANCE);
@@ -108,6 +115,7 @@
         }
         for (int number = 0; number < gateways; number++) {
             cores.add(createCore(policy, number, gateways, seed));
+            numberByAddress.put(address(number), number);
         }
         for (int number = 0; number < gateways; number++) {
             handle(number, new Event.TimePassed());
@@ -138,7 +146,7 @@
     }
 
     private static String address(int number) {
-        return "10.0.0." + (number + 1) + ":7000";
+        return "10.0." + number / ADDRESSES_PER_NETWORK + "." + (number % ADDRESSES_PER_NETWORK + 1) + ":7000";
     }
 
     private static String dataCentre(int number) {
@@ -299,6 +307,7 @@
     private void perform(int gateway, Decision decision) {
         if (decision instanceof Decision.Send send) {
             sendByAttempt.put(key(gateway, send.attempt()), send);
+            choiceStatistics.record(gateway, send, now);
             handle(gateway, new Event.AttemptReady(send.attempt()));
         } else if (decision instanceof Decision.Proceed proceed) {
             proceed(gateway, sendByAttempt.get(key(gateway, proceed.attempt())));
@@ -335,9 +344,9 @@
         if (server.accept(new Attempt(gateway, send.attempt()), work)) {
             return;
         }
+        choiceStatistics.turnedAway++;
         if (profile.silentWhenFull()) {
             unanswered++;
-
             return;
         }
         handle(
@@ -346,19 +355,24 @@
     }
 
     private void sendDigest(int from, String address, Decision.SendFleetDigest decision) {
-        for (int number = 0; number < cores.size(); number++) {
-            if (number != from && address(number).equals(address)) {
-                try {
-                    byte[] message = codec.encode(decision.digest(), now * NANOSECONDS_PER_MILLISECOND);
-                    pendingDeliveries.add(new Delivery(
-                            number, codec.decode(message, "host-" + from, now * NANOSECONDS_PER_MILLISECOND)));
-                } catch (PeerMessageException exception) {
-                    throw new AssertionError(exception);
-                }
-            }
+        Integer number = numberByAddress.get(address);
+        if (number == null || number == from) {
+            return;
+        }
+        try {
+            byte[] message = codec.encode(decision.digest(), now * NANOSECONDS_PER_MILLISECOND);
+            pendingDeliveries.add(
+                    new Delivery(number, codec.decode(message, "host-" + from, now * NANOSECONDS_PER_MILLISECOND)));
+        } catch (PeerMessageException exception) {
+            throw new AssertionError(exception);
         }
     }
 
+    /** Returns the number of messages that a gateway sends to others, on average. */
+    double messagesPerGateway() {
+        return (double) digests / cores.size();
+    }
+
     /** An event that a gateway receives in the next step. */
     private record Delivery(int gateway, Event event) {}
 
