--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/GroupRegistry.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/GroupRegistry.java
@@ -27,7 +27,16 @@
 
     /** Returns the members of a group, none if there is no such group. */
     List<ServerState> members(ServiceState service, String dataCentre, int group) {
-        return service == null ? List.of() : groups(service, dataCentre).members(group);
+        return groups(service, dataCentre).members(group);
+    }
+
+    /**
+     * Returns whether slots of a group may be granted, if they are free.
+     *
+     * @param service the service, {@code null} if there is none
+     */
+    boolean grantable(ServiceState service, String dataCentre, int group, long now) {
+        return service != null && groups(service, dataCentre).grantable(group, now);
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/ServerGroups.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/ServerGroups.java
@@ -66,6 +66,11 @@
         return groups.stream().mapToInt(members -> slots(members, now)).sum();
     }
 
+    /** Returns whether slots of a group may be granted, if they are free. */
+    boolean grantable(int group, long now) {
+        return slots(members(group), now) > 0;
+    }
+
     /** Returns the members of a group, none if there is no such group. */
     List<ServerState> members(int group) {
         return group >= 0 && group < groups.size() ? groups.get(group) : List.of();
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/SlotAllocator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/SlotAllocator.java
@@ -14,7 +14,6 @@
 import org.chivecourse.state.call.CallState;
 import org.chivecourse.state.call.CallTerms;
 import org.chivecourse.state.reservation.SlotKey;
-import org.chivecourse.state.reservation.SlotOutcome;
 import org.chivecourse.state.reservation.SlotRelease;
 import org.chivecourse.state.reservation.SlotReply;
 import org.chivecourse.state.reservation.SlotRequest;
@@ -84,7 +83,7 @@
         boolean allocated = service != null
                 && allocations.size() < MAXIMUM_ALLOCATIONS
                 && request.remainingNanoseconds() > 0
-                && !members(service, QueueKey.of(request)).isEmpty();
+                && grantable(service, QueueKey.of(request), now);
         CallState call = new CallState(++requestCount, terms(request, now));
         Allocation allocation = new Allocation(request, address, call);
         if (!allocated) {
@@ -94,9 +93,9 @@
         admit(allocation, service, now, sink);
     }
 
-    /** Returns the members of a group, none without a service. */
-    private List<ServerState> members(ServiceState service, QueueKey key) {
-        return groups.members(service, key.dataCentre(), key.group());
+    /** Returns whether slots of a group may be granted, if they are free. */
+    private boolean grantable(ServiceState service, QueueKey key, long now) {
+        return groups.grantable(service, key.dataCentre(), key.group(), now);
     }
 
     /** Returns the terms of a call as far as the order of waiting calls needs them. */
@@ -128,7 +127,7 @@
         ServiceState service = services.service(request.service());
         if (allocation.server() != null) {
             replyGranted(allocation, now, sink);
-        } else if (members(service, QueueKey.of(request)).isEmpty()) {
+        } else if (!grantable(service, QueueKey.of(request), now)) {
             refuse(allocation, SlotVerdict.NOT_ALLOCATED, now, sink);
         } else {
             reply(allocation, SlotVerdict.QUEUED, now, sink);
@@ -177,7 +176,7 @@
     /** Grants a slot and returns {@code true}, or returns {@code false} if none is free. */
     private boolean tryGrant(Allocation allocation, ServiceState service, long now, DecisionSink sink) {
         SlotRequest request = allocation.request();
-        List<ServerState> members = members(service, QueueKey.of(request));
+        List<ServerState> members = groups.members(service, request.dataCentre(), request.group());
         ServerState server = chooser.choose(service, members, allocation.call(), request.tried(), now);
         if (server == null) {
             return false;
@@ -243,12 +242,21 @@
         if (release.report() != null) {
             server.recordReport(release.report(), now);
         }
-        if (release.outcome() == SlotOutcome.FAILED) {
-            server.condition().recordFailure(now);
-        } else if (release.outcome() == SlotOutcome.UNREACHABLE) {
-            server.condition().markUnreachable(now);
-        } else if (release.outcome() != SlotOutcome.CANCELLED) {
-            server.condition().recordAlive(now);
+        switch (release.outcome()) {
+            case FAILED -> server.condition().recordFailure(now);
+            case UNREACHABLE -> {
+                server.condition().markUnreachable(now);
+                server.warmUp().recordFailure(now);
+            }
+            case ANSWERED, REFUSED -> {
+                server.condition().recordAlive(now);
+                server.condition().markReachable();
+                server.contact().recordAnswerToOthers(now);
+                server.warmUp().recordContact(now);
+            }
+            default -> {
+                // Nothing is known of the backend server.
+            }
         }
     }
 
@@ -259,7 +267,7 @@
         }
         for (Map.Entry<QueueKey, WaitingCalls> entry : List.copyOf(queues.entrySet())) {
             ServiceState service = services.service(entry.getKey().service());
-            boolean gone = members(service, entry.getKey()).isEmpty();
+            boolean gone = !grantable(service, entry.getKey(), now);
             if (gone) {
                 refuseAll(entry.getValue(), SlotVerdict.NOT_ALLOCATED, call -> true, now, sink);
                 queues.remove(entry.getKey());
