--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/Allocation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/Allocation.java
@@ -33,13 +33,13 @@
     void grant(ServerState granted, long now) {
         server = granted;
         grantedAt = now;
-        granted.beginReservation(now);
+        granted.reservations().begin(now);
     }
 
     /** Ends the grant, if there is one. */
     void release() {
         if (server != null) {
-            server.endReservation(grantedAt);
+            server.reservations().end(grantedAt);
         }
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/Reservations.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/Reservations.java
@@ -69,8 +69,8 @@
     /** Creates the requests. */
     private final SlotRequestFactory requests;
 
-    /** The granted slots, by the identifiers of the attempts that use them. */
-    private final Map<Long, Grant> grants = new HashMap<>();
+    /** The granted slots. */
+    private final GrantedSlots grants = new GrantedSlots();
 
     /** The number of calls that went on since their allocator did not reply. */
     private long unansweredCount;
@@ -199,7 +199,7 @@
             handleReplyElsewhere(waiting, reply, address, now, sink);
         } else if (request != null) {
             handleReply(request, reply, address, now, sink);
-        } else if (reply.verdict() == SlotVerdict.GRANTED && !holds(requester)) {
+        } else if (reply.verdict() == SlotVerdict.GRANTED && !grants.includes(requester)) {
             launchHedge(hedged, reply, address, now, sink);
         }
     }
@@ -264,11 +264,6 @@
         }
     }
 
-    /** Returns whether an attempt uses the slot that a request was granted. */
-    private boolean holds(SlotKey requester) {
-        return grants.values().stream().anyMatch(grant -> grant.requester().equals(requester));
-    }
-
     /** Starts an attempt at the backend server of a granted slot, or goes on without it if that is not possible. */
     private void launch(PendingRequest request, SlotReply reply, String address, long now, DecisionSink sink) {
         ServerState server = grantedServer(reply);
@@ -302,11 +297,10 @@
      * @param attempt the attempt, {@code null} if none does, so that the slot is released
      */
     private void use(SlotReply reply, String address, AttemptState attempt, long now, DecisionSink sink) {
-        Grant grant = new Grant(reply.requester(), address, attempt);
         if (attempt == null) {
-            release(grant, SlotOutcome.CANCELLED, null, now, sink);
+            release(reply.requester(), address, SlotOutcome.CANCELLED, null, now, sink);
         } else {
-            grants.put(attempt.identifier(), grant);
+            grants.add(attempt, reply.requester(), address);
         }
     }
 
@@ -318,7 +312,7 @@
 
     /** Returns whether an attempt was placed by an allocator. */
     public boolean placed(AttemptState attempt) {
-        return grants.containsKey(attempt.identifier());
+        return grants.includes(attempt);
     }
 
     /** Cancels a request whose call ended or goes on without it. */
@@ -326,7 +320,7 @@
         forget(request);
         Member asked = request.allocator();
         String address = asked.name().equals(name) ? "" : asked.address();
-        release(new Grant(request.request().requester(), address, null), SlotOutcome.CANCELLED, null, now, sink);
+        release(request.request().requester(), address, SlotOutcome.CANCELLED, null, now, sink);
     }
 
     /**
@@ -335,19 +329,24 @@
      * @param report the load that the backend server reported, {@code null} if it reported none
      */
     public void release(AttemptState attempt, SlotOutcome outcome, LoadReport report, long now, DecisionSink sink) {
-        Grant grant = grants.remove(attempt.identifier());
+        GrantedSlots.Grant grant = grants.remove(attempt);
         if (grant != null) {
-            release(grant, outcome, report, now, sink);
+            release(grant.requester(), grant.address(), outcome, report, now, sink);
         }
     }
 
-    /** Releases a slot. */
-    private void release(Grant grant, SlotOutcome outcome, LoadReport report, long now, DecisionSink sink) {
-        SlotRelease release = new SlotRelease(grant.requester(), outcome, report);
-        if (grant.address().isEmpty()) {
+    /**
+     * Releases a slot, or the request for one.
+     *
+     * @param address the address of the allocator, empty for this gateway itself
+     */
+    private void release(
+            SlotKey requester, String address, SlotOutcome outcome, LoadReport report, long now, DecisionSink sink) {
+        SlotRelease release = new SlotRelease(requester, outcome, report);
+        if (address.isEmpty()) {
             allocator.release(release, now, sink);
         } else {
-            sink.decide(new Decision.ReleaseSlot(grant.address(), release));
+            sink.decide(new Decision.ReleaseSlot(address, release));
         }
     }
 
@@ -359,10 +358,8 @@
             }
         }
         hedges.removeEnded();
-        for (Grant grant : new ArrayList<>(grants.values())) {
-            if (grant.attempt().ended()) {
-                release(grant.attempt(), SlotOutcome.CANCELLED, null, now, sink);
-            }
+        for (GrantedSlots.Grant grant : grants.removeEnded()) {
+            release(grant.requester(), grant.address(), SlotOutcome.CANCELLED, null, now, sink);
         }
     }
 
@@ -425,13 +422,4 @@
     public int pendingCount() {
         return pending.size();
     }
-
-    /**
-     * A granted slot.
-     *
-     * @param requester the request that it was granted to
-     * @param address the address of the allocator, empty for this gateway itself
-     * @param attempt the attempt that uses it, {@code null} if none does
-     */
-    private record Grant(SlotKey requester, String address, AttemptState attempt) {}
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/server/ServerState.java
@@ -12,9 +12,6 @@
     /** The time after which a backend server counts as warm at the latest, in nanoseconds. */
     private static final long WARM_UP_NANOSECONDS = 60_000_000_000L;
 
-    /** The time within which a reserved slot is used, in nanoseconds. */
-    private static final long RESERVATION_USE_NANOSECONDS = 100_000_000L;
-
     /** The weight of a new value in the moving averages. */
     private static final double AVERAGE_WEIGHT = 0.2;
 
@@ -42,8 +39,8 @@
     /** The start times of this host's open requests, the oldest first. */
     private final SortedLongList openRequests = new SortedLongList();
 
-    /** The times of the grants of its slots that this host reserves for others. */
-    private final SortedLongList reservations = new SortedLongList();
+    /** Its slots that this host reserves for others. */
+    private final ServerReservations reservations = new ServerReservations();
 
     /** The moving average of the time that a request takes without queueing, zero before the first answer. */
     private double averageServiceNanoseconds;
@@ -193,18 +190,9 @@
         openRequests.remove(startedAt);
     }
 
-    /** Records that one of its slots is reserved for a request of another host. */
-    public void beginReservation(long now) {
-        reservations.add(now);
-    }
-
-    /**
-     * Records the end of a reservation.
-     *
-     * @param grantedAt the time that was passed to {@link #beginReservation} for it
-     */
-    public void endReservation(long grantedAt) {
-        reservations.remove(grantedAt);
+    /** Returns its slots that this host reserves for others. */
+    public ServerReservations reservations() {
+        return reservations;
     }
 
     /** Returns the number of its requests that this host knows of: its own and those that it reserved slots for. */
@@ -236,17 +224,14 @@
     }
 
     /**
-     * Records a load report. Of the reservations that were made long before it, those that it does not count have been
-     * used, and are no longer counted here either.
+     * Records a load report.
      *
      * @param report the report
      * @param reportedAt the time of the report; requests that this host started later are not counted in it
      */
     public void recordReport(LoadReport report, long reportedAt) {
         condition.recordSlowness(report.slownessPercent(), reportedAt);
-        int overdue = reservations.countUpTo(reportedAt - RESERVATION_USE_NANOSECONDS) - report.inFlight();
-        reservations.removeFirst(Math.max(0, overdue));
-        int known = openRequests.countUpTo(reportedAt) + reservations.countUpTo(reportedAt);
+        int known = openRequests.countUpTo(reportedAt) + reservations.settle(report.inFlight(), reportedAt);
         reportedLoad.recordReport(report.inFlight(), known, reportedAt);
     }
 
