--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -107,7 +107,7 @@
 
     /**
      * Chooses among backend servers that get only the requests that this gateway places, so that none that are not
-     * reported yet are to be expected.
+     * reported yet are to be expected. If this gateway reaches none of them, others may.
      */
     @Override
     public ServerState choose(
@@ -123,6 +123,11 @@
         if (candidates.size() == 0 && !tried.isEmpty()) {
             candidates.collect(members, available);
         }
+        if (members.stream()
+                .allMatch(server -> server.ejected(now) || server.condition().isUnreachable(now))) {
+            candidates.collect(
+                    members, server -> !ServerGroups.limited(server, now) && isAvailableIgnoringEjection(server, now));
+        }
         return candidates.size() == 0 ? null : policy.choose(candidates, service.nextSelection(), random);
     }
 
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/SlotAllocator.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/reservation/SlotAllocator.java
@@ -244,10 +244,6 @@
         }
         switch (release.outcome()) {
             case FAILED -> server.condition().recordFailure(now);
-            case UNREACHABLE -> {
-                server.condition().markUnreachable(now);
-                server.warmUp().recordFailure(now);
-            }
             case ANSWERED, REFUSED -> {
                 server.condition().recordAlive(now);
                 server.condition().markReachable();
@@ -255,7 +251,7 @@
                 server.warmUp().recordContact(now);
             }
             default -> {
-                // Nothing is known of the backend server.
+                // A backend server that one gateway cannot reach may be reached by others.
             }
         }
     }
