--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptLauncher.java
@@ -69,8 +69,7 @@
         if (server == null) {
             return false;
         }
-        service.sendRate().recordRequest(now);
-        launch(call, server, call.attempts().isEmpty() ? "first" : "again", now, sink);
+        launchNext(service, call, server, now, sink);
         return true;
     }
 
@@ -89,8 +88,7 @@
             return null;
         }
         selector.beginSelection(service, call, now);
-        service.sendRate().recordRequest(now);
-        return launch(call, server, call.attempts().isEmpty() ? "first" : "again", now, sink);
+        return launchNext(service, call, server, now, sink);
     }
 
     /**
@@ -102,8 +100,7 @@
         if (server == null) {
             return false;
         }
-        service.sendRate().recordRequest(now);
-        launch(call, server, call.attempts().isEmpty() ? "first" : "again", now, sink);
+        launchNext(service, call, server, now, sink);
         return true;
     }
 
@@ -132,6 +129,13 @@
                 attemptsLeft));
     }
 
+    /** Starts the first attempt of a call, or the next one after those that failed, at a selected backend server. */
+    private AttemptState launchNext(
+            ServiceState service, CallState call, ServerState server, long now, DecisionSink sink) {
+        service.sendRate().recordRequest(now);
+        return launch(call, server, call.attempts().isEmpty() ? "first" : "again", now, sink);
+    }
+
     /**
      * Starts an attempt of a call at the given backend server and records what the choice was based on.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/AttemptOutcomeHandler.java
@@ -159,7 +159,7 @@
             return;
         }
         if (attempt.server().leavingCause() == LeavingCause.NONE && attempt.sentAt() == 0) {
-            continuation.reservations().release(attempt, SlotOutcome.UNREACHABLE, null, now, sink);
+            continuation.reservations().release(attempt, SlotOutcome.CANCELLED, null, now, sink);
             services.recordUnreachable(attempt.server(), now);
             recordFailure(attempt.server(), event.reason(), now, sink);
         }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/CallContinuation.java
@@ -100,11 +100,7 @@
     @Override
     public AttemptState launch(CallState call, ServerState server, long now, DecisionSink sink) {
         ServiceState service = services.service(call.terms().service());
-        boolean possible = service != null
-                && call.phase() == CallPhase.WAITING
-                && services.serviceOf(server.identity()) == service
-                && !suspectedCalls.mustRunAlone(call, now)
-                && stop.leavesTimeFor(service.typicalNanoseconds(call), now);
+        boolean possible = mayLaunch(service, call, now) && services.serviceOf(server.identity()) == service;
         return possible ? launcher.launchReserved(service, call, server, now, sink) : null;
     }
 
@@ -118,11 +114,19 @@
     @Override
     public boolean launchLimited(CallState call, long now, DecisionSink sink) {
         ServiceState service = services.service(call.terms().service());
+        return mayLaunch(service, call, now) && launcher.tryLaunchLimited(service, call, now, sink);
+    }
+
+    /**
+     * Returns whether an attempt of a call that waits for a slot may start now.
+     *
+     * @param service the service, {@code null} if the configuration in force has none
+     */
+    private boolean mayLaunch(ServiceState service, CallState call, long now) {
         return service != null
                 && call.phase() == CallPhase.WAITING
                 && !suspectedCalls.mustRunAlone(call, now)
-                && stop.leavesTimeFor(service.typicalNanoseconds(call), now)
-                && launcher.tryLaunchLimited(service, call, now, sink);
+                && stop.leavesTimeFor(service.typicalNanoseconds(call), now);
     }
 
     @Override
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServerSelector.java
@@ -148,10 +148,7 @@
     /** Returns whether a backend server may be sent a request for which another gateway reserved one of its slots. */
     boolean mayUse(ServiceState service, ServerState server, long now) {
         return server != service.quarantine().reserved()
-                && server.leavingCause() == LeavingCause.NONE
-                && server.allowance().permits(now)
-                && server.warmUp().permits(now)
-                && server.rest().permits(server.ownInFlight(), now)
+                && takesRequests(server, now)
                 && !server.condition().isUnreachable(now)
                 && service.serversInUse().contains(server);
     }
@@ -215,11 +212,14 @@
      * not resting, even if it is ejected or unreachable.
      */
     private boolean isAvailableIgnoringEjection(ServerState server, long now) {
-        return server != reserved
-                && server.leavingCause() == LeavingCause.NONE
+        return server != reserved && takesRequests(server, now) && policy.admits(server, candidates);
+    }
+
+    /** Returns whether a backend server is in service, within its request limit and warm-up, and not resting. */
+    private static boolean takesRequests(ServerState server, long now) {
+        return server.leavingCause() == LeavingCause.NONE
                 && server.allowance().permits(now)
                 && server.warmUp().permits(now)
-                && server.rest().permits(server.ownInFlight(), now)
-                && policy.admits(server, candidates);
+                && server.rest().permits(server.ownInFlight(), now);
     }
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/call/ServiceState.java
@@ -260,7 +260,7 @@
     }
 
     /** Returns the typical work time by route. */
-    public TypicalWorkTimes workTimes() {
+    TypicalWorkTimes workTimes() {
         return workTimes;
     }
 
@@ -283,8 +283,7 @@
         if (terms.route().isEmpty()) {
             return false;
         }
-        double typicalNanoseconds = workTimes.nanoseconds(terms.route(), terms.targetLatencyNanoseconds());
-        return terms.firstSentAt() + terms.targetLatencyNanoseconds() - now < typicalNanoseconds;
+        return terms.firstSentAt() + terms.targetLatencyNanoseconds() - now < typicalNanoseconds(call);
     }
 
     /** Returns the typical work time of a call in nanoseconds, zero without a host-name route. */
--- a/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/coordination/fleet/DigestComposer.java
@@ -86,24 +86,26 @@
      */
     FleetDigest compose(Content content, FleetDigest.PublisherStatus publisherStatus, boolean takesCalls, long now) {
         return new FleetDigest(
-                        peers.self(),
-                        settings.incarnation(),
-                        ++sequence,
-                        stopping,
-                        content.replyRequested(),
-                        publisherStatus,
-                        nextMembers(content.memberCount(), now),
-                        content.observations(),
-                        crashes(content, now),
-                        poisonRequests.answersToShare(content.maximumSuspicions(), now),
-                        blockedRequests(now),
-                        content.changes(),
-                        peers.fleetSize(),
-                        peers.dataCentreSize(now),
-                        content.limitReports(),
-                        content.warmUps(),
-                        takesCalls && !stopping ? settings.fleet().forwardingAddress() : "")
-                .withSlotAllocation(settings.policy().reservesSlots());
+                peers.self(),
+                settings.incarnation(),
+                ++sequence,
+                stopping,
+                content.replyRequested(),
+                publisherStatus,
+                nextMembers(content.memberCount(), now),
+                content.observations(),
+                crashes(content, now),
+                poisonRequests.answersToShare(content.maximumSuspicions(), now),
+                blockedRequests(now),
+                content.changes(),
+                peers.fleetSize(),
+                peers.dataCentreSize(now),
+                content.limitReports(),
+                content.warmUps(),
+                takesCalls && !stopping ? settings.fleet().forwardingAddress() : "",
+                List.of(),
+                List.of(),
+                settings.policy().reservesSlots());
     }
 
     /**
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/PeerCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/PeerCodec.java
@@ -31,7 +31,7 @@
     public static final int MAXIMUM_DATAGRAM_BYTES = 1400;
 
     /** The maximum length of a host's name or an idempotency key, in characters. */
-    private static final int MAXIMUM_NAME_CHARACTERS = 255;
+    static final int MAXIMUM_NAME_CHARACTERS = 255;
 
     /** The length of a configuration's digest, in bytes. */
     private static final int CONFIGURATION_DIGEST_BYTES = 32;
--- a/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/ReservationCodec.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/protocol/peer/ReservationCodec.java
@@ -22,9 +22,6 @@
     /** The longest time in a message, in microseconds. */
     private static final long MAXIMUM_MICROSECONDS = 24L * 3_600 * 1_000_000;
 
-    /** The maximum length of a name. */
-    private static final int MAXIMUM_NAME_CHARACTERS = 256;
-
     /** The maximum number of backend servers that a request excludes. */
     private static final int MAXIMUM_TRIED_SERVERS = 16;
 
@@ -100,7 +97,7 @@
         boolean named = allowed(message.getService())
                 && allowed(message.getRoute())
                 && allowed(message.getDataCentre())
-                && message.getReplyAddress().length() <= MAXIMUM_NAME_CHARACTERS
+                && message.getReplyAddress().length() <= PeerCodec.MAXIMUM_NAME_CHARACTERS
                 && message.getTriedCount() <= MAXIMUM_TRIED_SERVERS
                 && message.getTriedList().stream().allMatch(ReservationCodec::allowed);
         boolean inRange = message.getGroup() >= 0
@@ -139,7 +136,7 @@
         int verdict = message.getVerdict();
         boolean known = verdict >= 0 && verdict < verdicts.length;
         SlotKey requester = decode(message.getRequester());
-        if (message.getServer().length() > MAXIMUM_NAME_CHARACTERS) {
+        if (message.getServer().length() > PeerCodec.MAXIMUM_NAME_CHARACTERS) {
             throw new PeerMessageException("slot reply to host \"" + requester.name() + "\" has a name too long");
         }
         return new SlotReply(
@@ -187,7 +184,7 @@
 
     /** Returns whether a name is neither empty nor too long. */
     private static boolean allowed(String name) {
-        return !name.isEmpty() && name.length() <= MAXIMUM_NAME_CHARACTERS;
+        return !name.isEmpty() && name.length() <= PeerCodec.MAXIMUM_NAME_CHARACTERS;
     }
 
     /** Returns whether a time is in range. */
--- a/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/fleet/FleetDigest.java
@@ -141,31 +141,6 @@
                 allocatesSlots);
     }
 
-    /** Returns the same digest with whether the sender grants slots of backend servers to other gateways. */
-    public FleetDigest withSlotAllocation(boolean allocating) {
-        return new FleetDigest(
-                sender,
-                incarnation,
-                sequence,
-                stopping,
-                replyRequested,
-                publisherStatus,
-                members,
-                observations,
-                crashes,
-                answeredRequests,
-                blockedRequests,
-                changes,
-                fleetSize,
-                dataCentreSize,
-                limitReports,
-                warmUps,
-                forwardingAddress,
-                rooms,
-                wantedServices,
-                allocating);
-    }
-
     /**
      * The state of a gateway's connection to the publisher.
      *
--- a/chivecourse-core/src/main/java/org/chivecourse/state/reservation/SlotOutcome.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/state/reservation/SlotOutcome.java
@@ -2,7 +2,7 @@
 
 /** How a reservation was used. The ordinals are part of the messages between gateways. */
 public enum SlotOutcome {
-    /** Nothing was sent, or the requester no longer waits for an answer. */
+    /** Nothing could be sent or was needed, or the requester no longer waits for an answer. */
     CANCELLED,
 
     /** The backend server answered. */
@@ -12,8 +12,5 @@
     REFUSED,
 
     /** The connection to the backend server broke. */
-    FAILED,
-
-    /** The backend server could not be reached. */
-    UNREACHABLE
+    FAILED
 }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/http/ChoiceMetrics.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/http/ChoiceMetrics.java
@@ -5,8 +5,8 @@
 import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import java.util.EnumMap;
-import java.util.Locale;
 import java.util.Map;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.decision.Reason;
 import org.chivecourse.coordination.event.Event;
@@ -43,7 +43,7 @@
         uninformedChoices = registry.counter("choices.without-report");
         refusedAttempts = registry.counter("attempts.refused");
         for (Reason reason : Reason.values()) {
-            String label = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            String label = ConstantNames.of(reason);
             refusals.put(reason, registry.counter("calls.refused." + label));
         }
     }
--- a/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ReservationMetrics.java
+++ b/chivecourse-core/src/main/java/org/chivecourse/transport/peer/ReservationMetrics.java
@@ -3,8 +3,8 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.util.EnumMap;
-import java.util.Locale;
 import java.util.Map;
+import org.chivecourse.configuration.document.ConstantNames;
 import org.chivecourse.coordination.decision.Decision;
 import org.chivecourse.coordination.event.Event;
 import org.chivecourse.state.reservation.SlotVerdict;
@@ -37,7 +37,7 @@
         requestsReceived = registry.counter("slots.requests-received");
         releasesSent = registry.counter("slots.releases-sent");
         for (SlotVerdict verdict : SlotVerdict.values()) {
-            String label = verdict.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            String label = ConstantNames.of(verdict);
             repliesReceived.put(verdict, registry.counter("slots.replies-received." + label));
             repliesSent.put(verdict, registry.counter("slots.replies-sent." + label));
         }
--- a/chivecourse-core/src/test/java/org/chivecourse/coordination/load/ReservedCallTest.java
+++ b/chivecourse-core/src/test/java/org/chivecourse/coordination/load/ReservedCallTest.java
@@ -90,24 +90,26 @@
 
     private static FleetDigest digest(Member sender) {
         return new FleetDigest(
-                        sender,
-                        1,
-                        1,
-                        false,
-                        false,
-                        new FleetDigest.PublisherStatus(1, true, false, 0, 0),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        Map.of(),
-                        null,
-                        2,
-                        2,
-                        List.of(),
-                        List.of(),
-                        "")
-                .withSlotAllocation(true);
+                sender,
+                1,
+                1,
+                false,
+                false,
+                new FleetDigest.PublisherStatus(1, true, false, 0, 0),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                Map.of(),
+                null,
+                2,
+                2,
+                List.of(),
+                List.of(),
+                "",
+                List.of(),
+                List.of(),
+                true);
     }
 
     private List<Decision> arrive() {
